--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,373 @@
+// Package core routes inputs to the slices. It is a state machine: inputs and
+// the time come in, effects go out.
+package core
+
+import (
+	"encoding/json"
+	"log/slog"
+	"sort"
+	"time"
+
+	"lugward/internal/config"
+	"lugward/internal/fleet"
+	"lugward/internal/intake"
+	"lugward/internal/lead"
+	"lugward/internal/peer"
+	"lugward/internal/pipeline"
+	"lugward/internal/place"
+	"lugward/internal/rental"
+	"lugward/internal/step"
+	"lugward/internal/store"
+)
+
+const (
+	beatEvery  = 500 * time.Millisecond
+	beatLost   = 2 * time.Second // a peer not heard for this long is taken to be away
+	planEvery  = time.Second
+	roundIdle  = 2 * time.Second // a round without a change, for what time brings
+	cleanEvery = time.Second
+	cleanJobs  = 2
+	// A leader that hears no worker for this long gives the term up.
+	deafAfter = 12 * time.Second
+	// Rates: the leader writes most; the rest is for intake at the others.
+	leaderShare = 0.6
+	useRate     = 0.9 // what others still have in flight counts, too
+)
+
+type peerState struct {
+	label string
+	heard step.Time
+	beat  peer.Frame
+}
+
+// Node is one controller.
+type Node struct {
+	cfg    *config.Platform
+	log    *slog.Logger
+	names  *pipeline.Names
+	store  *store.Client
+	lead   *lead.Lead
+	jobs   *pipeline.Table
+	fleet  *fleet.Fleet
+	placer *place.Placer
+	rental *rental.Rental
+	intake *intake.Intake
+	peers  []*peerState
+
+	clock    func() time.Duration
+	leading  bool
+	beatAt   step.Time
+	roundAt  step.Time
+	planAt   step.Time
+	cleanAt  step.Time
+	heardAny step.Time // a worker's report, as leader
+	blocked  []*pipeline.Job
+	rooms    []*place.Room
+}
+
+// New builds a controller. clock bounds decision rounds and may be nil.
+func New(cfg *config.Platform, log *slog.Logger, clock func() time.Duration) *Node {
+	s := &cfg.Settings
+	n := &Node{cfg: cfg, log: log, names: &pipeline.Names{}, clock: clock}
+	teams := map[int]config.Team{}
+	for _, t := range s.Teams {
+		teams[n.names.Teams.Index(t.Name)] = t
+	}
+	n.jobs = pipeline.NewTable(n.names, int(s.State.ValueKB*1024), s.State.TxnOps)
+	n.store = store.New(cfg.Services.State, store.Limits{TxnOps: s.State.TxnOps, RPS: s.State.RPS, WriteRPS: s.State.WriteRPS}, n.listen)
+	labels := []string{cfg.Label}
+	for _, p := range cfg.Seeds {
+		labels = append(labels, p.Label)
+		n.peers = append(n.peers, &peerState{label: p.Label, heard: -time.Hour})
+	}
+	sort.Strings(labels)
+	lease := config.Seconds(s.Workers.LeaseS)
+	n.lead = lead.New(lead.Config{Label: cfg.Label, Rank: sort.SearchStrings(labels, cfg.Label), Life: time.Duration(cfg.Operator.Term.Life),
+		Lease: lease, Grace: lead.GraceFor(config.Seconds(s.Workers.CancelS), lease)}, n.store, log)
+	n.fleet = fleet.New(n.names, n.jobs, log)
+	n.rental = rental.New(rental.Config{Addr: cfg.Services.Cloud, RPS: s.Cloud.RPS, ListLag: config.Seconds(s.Cloud.ListLagS),
+		IdleKeep: time.Duration(cfg.Operator.Rental.IdleKeep), Settle: time.Duration(cfg.Operator.Rental.Settle)}, n.names, n.jobs, n.fleet, n.store, log)
+	n.placer = &place.Placer{Jobs: n.jobs, Fleet: n.fleet, Flavors: &n.rental.Flavors, Teams: teams, Silent: n.silent()}
+	n.intake = intake.New(intake.Config{Label: cfg.Label, Teams: s.Teams, Answer: time.Duration(cfg.Operator.Intake.Answer),
+		ValueBytes: int(s.State.ValueKB * 1024)}, n.names, n.jobs, n.store, &n.rental.Flavors)
+	n.share()
+	return n
+}
+
+// silent is how long a worker may be quiet before nothing more is given to it.
+func (n *Node) silent() time.Duration {
+	return config.Seconds(2.5*n.cfg.Settings.Workers.ReportS) + time.Second
+}
+
+// share sets our part of the state service's rates.
+func (n *Node) share() {
+	s := n.cfg.Settings.State
+	part := 1.0
+	if others := len(n.cfg.Seeds); others > 0 {
+		part = (1 - leaderShare) / float64(others)
+		if n.leading {
+			part = leaderShare
+		}
+	}
+	n.store.SetShare(s.RPS*part*useRate, s.WriteRPS*part*useRate)
+}
+
+func (n *Node) listen(key string, data []byte, stamp uint64) {
+	kind, rest := store.SplitKey(key)
+	switch kind {
+	case lead.Kind:
+		n.lead.Listen(key, data, stamp)
+	case rental.Kind, rental.RetireKind:
+		n.rental.Listen(kind, rest, data, stamp)
+	default:
+		n.jobs.Listen(kind, rest, data, stamp)
+	}
+}
+
+// Tick advances time.
+func (n *Node) Tick(now step.Time, out *step.Out) {
+	n.store.Tick(now, out)
+	n.lead.Tick(now, out)
+	n.settle(now, out)
+	n.beat(now, out)
+	n.markReady(now)
+	if !n.lead.Entitled(now) {
+		if !n.leading {
+			n.rental.Types(now, nil, out)
+		}
+		return
+	}
+	n.act(now, out)
+	n.store.Tick(now, out)
+}
+
+// settle notices the begin and the end of our term.
+func (n *Node) settle(now step.Time, out *step.Out) {
+	if n.lead.Acquired() {
+		n.leading = true
+		n.jobs.Forget()
+		n.fleet.Forget()
+		n.rental.Begin(now)
+		n.blocked, n.rooms = nil, nil
+		n.heardAny = now
+		n.share()
+	}
+	if n.leading && !n.lead.Holds() {
+		n.leading = false
+		n.jobs.Forget()
+		n.fleet.Forget()
+		n.rental.Forget()
+		n.blocked, n.rooms = nil, nil
+		n.share()
+	}
+	if n.leading && now-n.heardAny > deafAfter && n.anyWorkers() {
+		// Whoever can reach the workers shall have the term.
+		n.lead.Yield(now, out, "no worker is heard")
+		n.settle(now, out)
+	}
+}
+
+// anyWorkers tells whether there are workers that ought to report.
+func (n *Node) anyWorkers() bool {
+	for _, p := range n.peers {
+		if n.present(p) && p.beat.Heard > 0 {
+			return true
+		}
+	}
+	used := false
+	n.jobs.HostsInUse(func(int) { used = true })
+	for _, h := range n.fleet.Hosts {
+		used = used || (h != nil && h.Heard > 0)
+	}
+	return used
+}
+
+func (n *Node) present(p *peerState) bool { return n.beatAt-p.heard < beatLost }
+
+// act is the leader's work.
+func (n *Node) act(now step.Time, out *step.Out) {
+	n.fleet.Tick(now, n.lead, out)
+	n.drain(now)
+	n.rental.Tick(now, n.lead.Cond(), n.silent(), out)
+	since := now - n.roundAt
+	if (n.jobs.Changed && since >= time.Duration(n.cfg.Operator.Place.Round)) || since >= roundIdle {
+		n.roundAt, n.jobs.Changed = now, false
+		if n.clock != nil {
+			begin, budget := n.clock(), time.Duration(n.cfg.Operator.Place.Budget)
+			n.placer.Elapsed = func() bool { return n.clock()-begin > budget }
+		}
+		n.blocked, n.rooms = n.placer.Round(now)
+		if now-n.planAt >= planEvery {
+			n.planAt = now
+			n.rental.Plan(now, n.blocked, n.rooms, n.placer.Quota, n.lead.Fence(), out)
+		}
+	}
+	n.jobs.Flush(now, n.lead.Cond(), n.store)
+	if now-n.cleanAt >= cleanEvery {
+		n.cleanAt = now
+		n.jobs.Clean(now, n.lead.Cond(), n.store, cleanJobs)
+	}
+}
+
+// drain moves work off machines that the cloud is about to take.
+func (n *Node) drain(now step.Time) {
+	const lead = 4 * time.Second // for the stop to arrive and be answered
+	for _, h := range n.fleet.Hosts {
+		if h == nil || h.RecallAt == 0 {
+			continue
+		}
+		for e := range n.jobs.OnHost(h.Index) {
+			if e.Job.SnapEvery > 0 && h.RecallAt-now < config.Seconds(e.Job.SnapCost)+lead {
+				n.fleet.Evict(e, e.Job.SnapCost+1)
+			}
+		}
+	}
+}
+
+// markReady writes the ready mark of held jobs that we own, and as leader of
+// those whose owner is away. The write requires the record as it was, so two
+// owners do no harm.
+func (n *Node) markReady(now step.Time) {
+	for _, j := range n.jobs.Held() {
+		if j.Owner != n.cfg.Label && !(n.leading && !n.ownerPresent(j.Owner)) {
+			continue
+		}
+		n.jobs.MarkReady(j, now, n.store)
+	}
+}
+
+func (n *Node) ownerPresent(label string) bool {
+	for _, p := range n.peers {
+		if p.label == label {
+			return n.present(p)
+		}
+	}
+	return false
+}
+
+func (n *Node) beat(now step.Time, out *step.Out) {
+	if now-n.beatAt < beatEvery {
+		return
+	}
+	n.beatAt = now
+	f := peer.Frame{Kind: peer.Beat, Label: n.cfg.Label, StateOK: n.store.Synced() && !n.store.Outage(), Leads: n.leading}
+	if n.leading {
+		f.Fence = n.lead.Fence()
+	}
+	data := peer.Append(nil, &f)
+	for i := range n.peers {
+		out.Send(i, data)
+	}
+}
+
+// Frame takes a frame from another controller.
+func (n *Node) Frame(now step.Time, f step.PeerFrame, out *step.Out) {
+	fr, err := peer.Decode(f.Data)
+	if err != nil {
+		n.log.Debug("bad frame", "err", err)
+		return
+	}
+	for _, p := range n.peers {
+		if p.label == fr.Label && fr.Kind == peer.Beat {
+			p.heard, p.beat = now, fr
+			if fr.Leads {
+				n.lead.SawFence(fr.Fence)
+			}
+		}
+	}
+}
+
+// CallDone takes the outcome of a call of ours.
+func (n *Node) CallDone(now step.Time, d step.CallDone, out *step.Out) {
+	if n.store.CallDone(now, d, out) {
+		n.settle(now, out)
+		if n.leading && n.lead.Entitled(now) {
+			n.act(now, out)
+		}
+		return
+	}
+	if n.rental.CallDone(now, d, out) || n.fleet.CallDone(d) {
+		return
+	}
+}
+
+// Request takes an HTTP request.
+func (n *Node) Request(now step.Time, r step.Request, out *step.Out) {
+	switch {
+	case r.Path == "/healthz":
+		n.health(now, r, out)
+	case r.Path == "/hello":
+		if r.Method != "POST" {
+			out.Reply(r.Conn, 405, nil)
+			return
+		}
+		n.hello(now, r, out)
+	case n.intake.Handle(now, r, out):
+		n.store.Tick(now, out)
+	default:
+		out.Reply(r.Conn, 404, nil)
+	}
+}
+
+// health: a node that alone is refused by the state service sends users to
+// the others; in an outage that all share, staying healthy lets the service
+// resume at once.
+func (n *Node) health(now step.Time, r step.Request, out *step.Out) {
+	ok := n.store.Synced()
+	if ok && n.store.Outage() && now-n.store.Contact() > beatLost {
+		for _, p := range n.peers {
+			if n.present(p) && p.beat.StateOK {
+				ok = false
+			}
+		}
+	}
+	if ok {
+		out.Reply(r.Conn, 200, nil)
+	} else {
+		out.Busy(r.Conn, 1)
+	}
+}
+
+type helloAnswer struct {
+	Fence  uint64        `json:"fence"`
+	Orders []fleet.Order `json:"orders"`
+}
+
+// hello answers a worker's report.
+func (n *Node) hello(now step.Time, r step.Request, out *step.Out) {
+	rep, err := fleet.ParseReport(r.Body)
+	if err != nil {
+		out.Reply(r.Conn, 400, nil)
+		return
+	}
+	if !n.leading || !n.lead.MayAnswer(now) {
+		n.lead.SawFence(rep.Fence)
+		n.misdirect(r.Conn, out)
+		return
+	}
+	orders, ok := n.fleet.Answer(rep, now, n.lead)
+	if !ok || !n.lead.MayAnswer(now) {
+		out.Busy(r.Conn, 1)
+		return
+	}
+	n.heardAny = now
+	if orders == nil {
+		orders = []fleet.Order{}
+	}
+	body, _ := json.Marshal(helloAnswer{n.lead.Fence(), orders})
+	out.Reply(r.Conn, 200, body)
+	if n.lead.Entitled(now) {
+		n.act(now, out)
+	}
+	n.store.Tick(now, out)
+}
+
+func (n *Node) misdirect(conn uint64, out *step.Out) {
+	holder := n.lead.Holder()
+	if holder == "" || holder == n.cfg.Label {
+		out.Reply(conn, 421, nil)
+		return
+	}
+	body, _ := json.Marshal(map[string]string{"steward": holder})
+	out.Reply(conn, 421, body)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,499 @@
+// Package engine is the only place with sockets, clocks and timers. It runs
+// the core on one gnet event loop: every input becomes a Step, every effect
+// becomes output.
+package engine
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"lugward/internal/httpwire"
+	"lugward/internal/step"
+)
+
+// Core is the state machine that the engine drives.
+type Core interface {
+	Tick(now step.Time, out *step.Out)
+	Request(now step.Time, r step.Request, out *step.Out)
+	CallDone(now step.Time, d step.CallDone, out *step.Out)
+	Frame(now step.Time, f step.PeerFrame, out *step.Out)
+}
+
+// Config says where to listen and what to bound.
+type Config struct {
+	Bind, PeerBind string
+	Peers          []string // endpoints, in the order of the core's peer indices
+	MaxConnections int
+}
+
+const (
+	tickEvery = 50 * time.Millisecond
+	// A cut-off address answers nothing; the dial must not outlive the call.
+	dialTimeout  = 1500 * time.Millisecond
+	idleOut      = 20 * time.Second  // an unused outgoing connection is closed
+	idleIn       = 150 * time.Second // an unused incoming connection is closed
+	halfRequest  = 10 * time.Second  // a request must arrive whole within this
+	redialEvery  = time.Second
+	maxResponse  = 8 << 20   // follow responses have no size limit of their own
+	maxUnsent    = 512 << 10 // a reader this far behind is dropped
+	maxFrame     = 128 << 10
+	outgoingRoom = 4 // 1/outgoingRoom of the sockets is kept for outgoing connections
+)
+
+type connKind uint8
+
+const (
+	kindHTTP connKind = iota // incoming user, worker or probe
+	kindPeerIn
+	kindCall    // outgoing HTTP
+	kindPeerOut // outgoing frames
+)
+
+type conn struct {
+	id     uint64
+	kind   connKind
+	g      gnet.Conn
+	addr   string
+	peer   int
+	busy   bool // an incoming request awaits its reply, or an outgoing call its response
+	close  bool
+	reused bool
+	call   step.Call
+	since  step.Time // of the last activity
+	half   bool      // part of a request is buffered
+}
+
+// loopBox gives the stored loop one concrete type.
+type loopBox struct{ gnet.EventLoop }
+
+func (e *engine) eventLoop() gnet.EventLoop { return e.loop.Load().(loopBox) }
+
+// ownAddr marks the connection that the engine opens to itself to learn its
+// event loop.
+type ownAddr struct{}
+
+type engine struct {
+	gnet.BuiltinEventEngine
+	cfg   Config
+	core  Core
+	log   *slog.Logger
+	start time.Time
+	loop  atomic.Value // gnet.EventLoop, set once by the loop itself
+	eng   gnet.Engine
+
+	out      step.Out
+	lastConn uint64
+	conns    map[uint64]*conn
+	incoming int
+	idle     map[string][]*conn
+	peers    []*peerLink
+	pending  []event // raised while a step is being carried out
+	inStep   bool
+	expiry   map[uint64]step.Time // call ID -> deadline
+	calls    map[uint64]*conn
+	swept    step.Time
+	failed   error
+}
+
+type peerLink struct {
+	conn   *conn
+	dialed step.Time
+	busy   bool
+}
+
+type event func()
+
+// Run serves until the process is killed or listening fails.
+func Run(cfg Config, core Core, log *slog.Logger) error {
+	e := &engine{cfg: cfg, core: core, log: log, start: time.Now(), conns: map[uint64]*conn{}, idle: map[string][]*conn{},
+		expiry: map[uint64]step.Time{}, calls: map[uint64]*conn{}}
+	for range cfg.Peers {
+		e.peers = append(e.peers, &peerLink{dialed: -redialEvery})
+	}
+	err := gnet.Rotate(e, []string{"tcp://" + cfg.Bind, "tcp://" + cfg.PeerBind},
+		gnet.WithNumEventLoop(1), gnet.WithTicker(true), gnet.WithReuseAddr(true),
+		gnet.WithReadBufferCap(64<<10), gnet.WithLogLevel(logging.ErrorLevel), gnet.WithLogger(quiet{}))
+	return errors.Join(err, e.failed)
+}
+
+func (e *engine) now() step.Time { return time.Since(e.start) }
+
+func (e *engine) OnBoot(eng gnet.Engine) gnet.Action {
+	e.eng = eng
+	return gnet.None
+}
+
+// OnTick runs on gnet's ticker goroutine: it only hands the work to the loop.
+func (e *engine) OnTick() (time.Duration, gnet.Action) {
+	if e.loop.Load() == nil {
+		// gnet tells its loop only through a connection, so the first tick
+		// opens one to ourselves.
+		addr, err := net.ResolveTCPAddr("tcp", e.cfg.Bind)
+		if err == nil {
+			_, err = e.eng.Register(gnet.NewContext(gnet.NewNetAddrContext(context.Background(), addr), ownAddr{}))
+		}
+		if err != nil {
+			e.log.Error("no event loop", "err", err)
+		}
+		return 4 * tickEvery, gnet.None
+	}
+	_ = e.eventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		e.tick()
+		return nil
+	}))
+	return tickEvery, gnet.None
+}
+
+func (e *engine) tick() {
+	now := e.now()
+	for id, at := range e.expiry {
+		if now >= at {
+			e.finishCall(id, 0, nil)
+		}
+	}
+	for i, p := range e.peers {
+		if p.conn == nil && !p.busy && now-p.dialed >= redialEvery {
+			p.busy, p.dialed = true, now
+			e.dial(&conn{kind: kindPeerOut, addr: e.cfg.Peers[i], peer: i})
+		}
+	}
+	if now-e.swept >= time.Second {
+		e.swept = now
+		e.sweep(now)
+	}
+	e.step(func() { e.core.Tick(now, &e.out) })
+}
+
+// sweep closes connections that idle, stall or read too slowly.
+func (e *engine) sweep(now step.Time) {
+	for _, c := range e.conns {
+		quiet := now - c.since
+		switch c.kind {
+		case kindHTTP, kindPeerIn:
+			if (c.half && quiet > halfRequest) || (!c.busy && quiet > idleIn) {
+				e.drop(c)
+				continue
+			}
+		case kindCall:
+			if !c.busy && quiet > idleOut {
+				e.drop(c)
+				continue
+			}
+		}
+		if c.g.OutboundBuffered() > maxUnsent {
+			e.drop(c)
+		}
+	}
+}
+
+// step runs one input through the core, then carries out the effects; inputs
+// raised meanwhile follow in order.
+func (e *engine) step(f func()) {
+	if e.inStep {
+		e.pending = append(e.pending, f)
+		return
+	}
+	e.inStep = true
+	f()
+	e.perform()
+	for len(e.pending) > 0 {
+		next := e.pending[0]
+		e.pending = e.pending[1:]
+		next()
+		e.perform()
+	}
+	e.inStep = false
+}
+
+func (e *engine) perform() {
+	replies, calls, frames := e.out.Replies, e.out.Calls, e.out.Frames
+	for _, r := range replies {
+		e.reply(r)
+	}
+	for _, c := range calls {
+		e.startCall(c)
+	}
+	for _, f := range frames {
+		e.sendFrame(f)
+	}
+	e.out.Reset()
+}
+
+func (e *engine) reply(r step.Reply) {
+	c := e.conns[r.Conn]
+	if c == nil {
+		return
+	}
+	c.busy = false
+	c.since = e.now()
+	_, _ = c.g.Write(httpwire.AppendResponse(nil, r.Status, r.Body, r.RetryAfter, c.close))
+	if c.close {
+		e.drop(c)
+		return
+	}
+	if c.g.InboundBuffered() > 0 {
+		e.pending = append(e.pending, func() { e.readHTTP(c) })
+	}
+}
+
+func (e *engine) startCall(call step.Call) {
+	e.expiry[call.ID] = e.now() + call.Timeout
+	if list := e.idle[call.Addr]; len(list) > 0 {
+		c := list[len(list)-1]
+		e.idle[call.Addr] = list[:len(list)-1]
+		c.reused = true
+		e.issue(c, call)
+		return
+	}
+	e.calls[call.ID] = nil
+	e.dial(&conn{kind: kindCall, addr: call.Addr, call: call})
+}
+
+func (e *engine) issue(c *conn, call step.Call) {
+	c.call, c.busy, c.since = call, true, e.now()
+	e.calls[call.ID] = c
+	_, _ = c.g.Write(httpwire.AppendRequest(nil, call.Method, call.Path, call.Addr, call.Body))
+}
+
+func (e *engine) finishCall(id uint64, status int, body []byte) {
+	if _, ok := e.expiry[id]; !ok {
+		return
+	}
+	delete(e.expiry, id)
+	c := e.calls[id]
+	delete(e.calls, id)
+	if c != nil {
+		c.busy = false
+		if status == 0 || c.close {
+			e.drop(c) // a late response must not meet the next request
+		} else {
+			c.since = e.now()
+			e.idle[c.addr] = append(e.idle[c.addr], c)
+		}
+	}
+	done := step.CallDone{ID: id, Status: status, Body: body}
+	e.step(func() { e.core.CallDone(e.now(), done, &e.out) })
+}
+
+// dial connects outside the loop and hands the connection to it.
+func (e *engine) dial(c *conn) {
+	go func() {
+		d := net.Dialer{Timeout: dialTimeout}
+		nc, err := d.Dial("tcp", c.addr)
+		if err == nil {
+			var res <-chan gnet.RegisteredResult
+			if res, err = e.eventLoop().Enroll(gnet.NewContext(context.Background(), c), nc); err == nil {
+				err = (<-res).Err
+			}
+		}
+		if err != nil {
+			_ = e.eventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+				e.dialFailed(c)
+				return nil
+			}))
+		}
+	}()
+}
+
+func (e *engine) dialFailed(c *conn) {
+	if c.kind == kindPeerOut {
+		e.peers[c.peer].busy = false
+		return
+	}
+	e.finishCall(c.call.ID, 0, nil)
+}
+
+func (e *engine) OnOpen(g gnet.Conn) ([]byte, gnet.Action) {
+	if e.loop.Load() == nil {
+		e.loop.Store(loopBox{g.EventLoop()})
+	}
+	switch ctx := g.Context().(type) {
+	case ownAddr:
+		return nil, gnet.Close
+	case *conn:
+		ctx.g = g
+		e.add(ctx)
+		if ctx.kind == kindPeerOut {
+			p := e.peers[ctx.peer]
+			p.busy, p.conn = false, ctx
+		} else if _, ok := e.expiry[ctx.call.ID]; ok {
+			e.issue(ctx, ctx.call)
+		} else {
+			e.idle[ctx.addr] = append(e.idle[ctx.addr], ctx) // the call gave up meanwhile
+		}
+		return nil, gnet.None
+	}
+	c := &conn{kind: kindHTTP, g: g}
+	if g.LocalAddr().String() == e.cfg.PeerBind {
+		c.kind = kindPeerIn
+	} else if e.incoming >= e.cfg.MaxConnections-e.cfg.MaxConnections/outgoingRoom {
+		return nil, gnet.Close
+	}
+	e.incoming++
+	g.SetContext(c)
+	e.add(c)
+	return nil, gnet.None
+}
+
+func (e *engine) add(c *conn) {
+	e.lastConn++
+	c.id, c.since = e.lastConn, e.now()
+	e.conns[c.id] = c
+}
+
+func (e *engine) drop(c *conn) {
+	if c.g != nil {
+		_ = c.g.Close()
+	}
+}
+
+func (e *engine) OnClose(g gnet.Conn, _ error) gnet.Action {
+	c, ok := g.Context().(*conn)
+	if !ok || e.conns[c.id] == nil {
+		return gnet.None
+	}
+	delete(e.conns, c.id)
+	switch c.kind {
+	case kindHTTP, kindPeerIn:
+		e.incoming--
+	case kindPeerOut:
+		if e.peers[c.peer].conn == c {
+			e.peers[c.peer].conn = nil
+		}
+	case kindCall:
+		list := e.idle[c.addr]
+		for i, o := range list {
+			if o == c {
+				e.idle[c.addr] = append(list[:i:i], list[i+1:]...)
+				break
+			}
+		}
+		if c.busy {
+			e.calls[c.call.ID] = nil
+			e.finishCall(c.call.ID, 0, nil)
+		}
+	}
+	return gnet.None
+}
+
+func (e *engine) OnTraffic(g gnet.Conn) gnet.Action {
+	c, ok := g.Context().(*conn)
+	if !ok {
+		return gnet.Close
+	}
+	c.since = e.now()
+	switch c.kind {
+	case kindHTTP:
+		if c.busy {
+			if g.InboundBuffered() > httpwire.MaxHead+httpwire.MaxBody {
+				return gnet.Close
+			}
+			return gnet.None
+		}
+		e.step(func() { e.readHTTP(c) })
+	case kindPeerIn:
+		return e.readFrames(c)
+	case kindCall:
+		return e.readResponse(c)
+	case kindPeerOut:
+		return gnet.Close // nothing is ever answered on it
+	}
+	return gnet.None
+}
+
+// readHTTP takes one request; it runs inside a step.
+func (e *engine) readHTTP(c *conn) {
+	if e.conns[c.id] != c || c.busy {
+		return
+	}
+	in, _ := c.g.Peek(-1)
+	if len(in) == 0 {
+		return
+	}
+	m, n, err := httpwire.ParseRequest(in)
+	if errors.Is(err, httpwire.ErrIncomplete) {
+		c.half = true
+		return
+	}
+	c.half = false
+	if err != nil {
+		// A body over the limit is a malformed submission to its user, too.
+		_, _ = c.g.Write(httpwire.AppendResponse(nil, 400, nil, 0, true))
+		e.drop(c)
+		return
+	}
+	c.busy, c.close = true, m.Close
+	r := step.Request{Conn: c.id, Method: m.Method, Path: m.Target, Body: append([]byte(nil), m.Body...)}
+	_, _ = c.g.Discard(n)
+	e.core.Request(e.now(), r, &e.out)
+}
+
+func (e *engine) readResponse(c *conn) gnet.Action {
+	in, _ := c.g.Peek(-1)
+	if !c.busy {
+		return gnet.Close // nobody asked
+	}
+	m, n, err := httpwire.ParseResponse(in, maxResponse)
+	if errors.Is(err, httpwire.ErrIncomplete) {
+		return gnet.None
+	}
+	if err != nil {
+		return gnet.Close
+	}
+	body := append([]byte(nil), m.Body...)
+	_, _ = c.g.Discard(n)
+	c.close = m.Close
+	e.finishCall(c.call.ID, m.Status, body)
+	return gnet.None
+}
+
+func (e *engine) readFrames(c *conn) gnet.Action {
+	for {
+		in, _ := c.g.Peek(-1)
+		c.half = len(in) > 0
+		if len(in) < 4 {
+			return gnet.None
+		}
+		size := int(binary.BigEndian.Uint32(in))
+		if size > maxFrame {
+			return gnet.Close
+		}
+		if len(in) < 4+size {
+			return gnet.None
+		}
+		f := step.PeerFrame{Peer: -1, Data: append([]byte(nil), in[4:4+size]...)}
+		_, _ = c.g.Discard(4 + size)
+		e.step(func() { e.core.Frame(e.now(), f, &e.out) })
+	}
+}
+
+func (e *engine) sendFrame(f step.PeerFrame) {
+	c := e.peers[f.Peer].conn
+	if c == nil {
+		return // frames are hints; the next one follows soon
+	}
+	b := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(f.Data)), uint32(len(f.Data)))
+	_, _ = c.g.Write(append(b, f.Data...))
+}
+
+// quiet keeps gnet's own messages out of our log, errors excepted.
+type quiet struct{}
+
+func (quiet) Debugf(string, ...any) {}
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Warnf(string, ...any)  {}
+func (quiet) Errorf(f string, a ...any) {
+	slog.Debug("gnet", "msg", fmt.Sprintf(f, a...))
+}
+func (quiet) Fatalf(f string, a ...any) {
+	slog.Error("gnet", "msg", fmt.Sprintf(f, a...))
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,472 @@
+// Package fleet knows the machines: what their workers report, which orders
+// they are to get, and when the tasks on a silent machine are surely gone.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"lugward/internal/pipeline"
+	"lugward/internal/step"
+)
+
+// Term is what the fleet asks of the leadership.
+type Term interface {
+	Fence() uint64
+	Entitled(now step.Time) bool
+	SawFence(f uint64)
+	SilentProof(lastAnswer step.Time) step.Time
+}
+
+// Host is a machine.
+type Host struct {
+	Index  int
+	Name   string
+	Addr   string
+	Flavor int
+	Zone   int
+	Spot   bool
+
+	Known    bool // flavor and zone are known
+	Tenure   uint64
+	Tick     uint64
+	Heard    step.Time // of the last report, 0: none in this term
+	Answered step.Time
+	Proven   bool      // a report carried our fence
+	RecallAt step.Time // 0: no notice
+	Since    step.Time // when we first knew of it
+
+	Stray    int // tasks on it that no entry explains
+	Images   map[int]bool
+	Refused  step.Time // full or in_use: not to be used before
+	Errors   map[int]bool
+	Retiring bool // logged as retired: no task may be placed
+	IdleFrom step.Time
+	direct   step.Time
+}
+
+// Fleet is the table of machines.
+type Fleet struct {
+	Names *pipeline.Names
+	Jobs  *pipeline.Table
+	Hosts []*Host // by index, nil if gone
+	log   *slog.Logger
+	addr  map[uint64]bool // direct calls in flight
+
+	// Boots holds learnt times from rental to first report, per flavor.
+	OnDone func(j *pipeline.Job, e *pipeline.Entry, now step.Time)
+}
+
+// New returns an empty fleet.
+func New(n *pipeline.Names, t *pipeline.Table, log *slog.Logger) *Fleet {
+	return &Fleet{Names: n, Jobs: t, log: log, addr: map[uint64]bool{}}
+}
+
+// Host returns a machine by name, adding it when new.
+func (f *Fleet) Host(name string, now step.Time) *Host {
+	i := f.Names.Hosts.Index(name)
+	for len(f.Hosts) <= i {
+		f.Hosts = append(f.Hosts, nil)
+	}
+	if f.Hosts[i] == nil {
+		f.Hosts[i] = &Host{Index: i, Name: name, Flavor: -1, Zone: -1, Since: now, Images: map[int]bool{}, IdleFrom: now}
+	}
+	return f.Hosts[i]
+}
+
+// At returns a machine by index, or nil.
+func (f *Fleet) At(i int) *Host {
+	if i < 0 || i >= len(f.Hosts) {
+		return nil
+	}
+	return f.Hosts[i]
+}
+
+// Forget drops what only a leader knows.
+func (f *Fleet) Forget() { f.Hosts = nil }
+
+// Up tells whether a machine can take tasks now.
+func (h *Host) Up(now step.Time, silent time.Duration) bool {
+	return h.Known && h.Heard > 0 && now-h.Heard < silent && !h.Retiring && h.RecallAt == 0 && h.Stray == 0 && now >= h.Refused && len(h.Errors) < faultyJobs
+}
+
+const (
+	faultyJobs   = 2 // so many different jobs failing on a machine make it faulty
+	refusedPause = 4 * time.Second
+	directEvery  = time.Second
+	directWait   = 3 * time.Second
+	// A job that failed on this many machines is taken to be at fault itself.
+	faultyHosts = 3
+	parkBase    = 10 * time.Second
+	parkMost    = 5 * time.Minute
+)
+
+// Report is a worker's report.
+type Report struct {
+	Host   string   `json:"host"`
+	Addr   string   `json:"addr"`
+	Flavor string   `json:"flavor"`
+	Yard   string   `json:"yard"`
+	Spot   bool     `json:"loaners"`
+	Tenure uint64   `json:"tenure"`
+	Tick   uint64   `json:"tick"`
+	Fence  uint64   `json:"fence"`
+	Recall *float64 `json:"recall_s"`
+	Shards []Shard  `json:"shards"`
+}
+
+// Shard is one task in a report.
+type Shard struct {
+	Shard  string `json:"shard"`
+	Try    uint64 `json:"try"`
+	Phase  string `json:"phase"`
+	Cause  string `json:"cause"`
+	Stored bool   `json:"stored"`
+}
+
+// Order is a command to a worker.
+type Order struct {
+	Verb  string   `json:"verb"`
+	Shard string   `json:"shard"`
+	Try   uint64   `json:"try"`
+	Wind  *float64 `json:"wind_down_s,omitempty"`
+}
+
+// ParseReport reads and checks a report.
+func ParseReport(body []byte) (*Report, error) {
+	r := &Report{}
+	if err := json.Unmarshal(body, r); err != nil {
+		return nil, err
+	}
+	if r.Host == "" || r.Flavor == "" || r.Yard == "" || r.Tenure == 0 {
+		return nil, fmt.Errorf("report lacks a field")
+	}
+	return r, nil
+}
+
+// ParseShard splits a task's name into its job and number.
+func ParseShard(s string) (job string, task int, ok bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(s[i+1:])
+	return s[:i], n, err == nil && n >= 0
+}
+
+// Name is a task's name.
+func shardName(e *pipeline.Entry) string { return e.Job.ID + "/" + strconv.Itoa(e.Task) }
+
+var phases = map[string]pipeline.TaskPhase{"pulling": pipeline.Pulling, "waiting": pipeline.Waiting,
+	"running": pipeline.RunningTask, "saving": pipeline.Saving, "exited": pipeline.Exited}
+
+// Answer takes a report in and returns the orders to send back. ok is false
+// for a report that is older than one we have seen.
+func (f *Fleet) Answer(r *Report, now step.Time, term Term) (orders []Order, ok bool) {
+	h := f.Host(r.Host, now)
+	if r.Tenure < h.Tenure || (r.Tenure == h.Tenure && r.Tick <= h.Tick) {
+		// Held back by the network: its task list is as old as it is.
+		return nil, false
+	}
+	term.SawFence(r.Fence)
+	f.note(h, r, now)
+	proof := r.Fence == term.Fence()
+	h.Proven = h.Proven || proof
+	entitled := term.Entitled(now)
+
+	var starts, stops, reaps []Order
+	seen := map[*pipeline.Entry]bool{}
+	h.Stray = 0
+	for _, s := range r.Shards {
+		id, task, good := ParseShard(s.Shard)
+		if !good {
+			continue
+		}
+		j := f.Jobs.Job(id)
+		var e *pipeline.Entry
+		if j != nil && task < j.N {
+			if e = j.Entry(task); e != nil && (e.Host != h.Index || e.Try != s.Try) {
+				e = nil
+			}
+		}
+		if e == nil {
+			switch {
+			case s.Phase == "exited" && s.Cause == "done" && j != nil && j.Final == pipeline.Queued && !j.IsDone(task):
+				// The result counts, whichever attempt it came from; it is
+				// reaped once it is stored.
+				f.Jobs.MarkDone(j, task)
+			case s.Phase == "exited":
+				reaps = append(reaps, Order{Verb: "reap", Shard: s.Shard, Try: s.Try})
+			default:
+				h.Stray++
+				zero := 0.0
+				stops = append(stops, Order{Verb: "stop", Shard: s.Shard, Try: s.Try, Wind: &zero})
+			}
+			continue
+		}
+		seen[e] = true
+		f.progress(h, e, s, now)
+		if s.Phase != "exited" && e.Wish == pipeline.Keep {
+			if stop, wind := f.mustStop(e); stop {
+				stops = append(stops, Order{Verb: "stop", Shard: s.Shard, Try: s.Try, Wind: &wind})
+			}
+		}
+	}
+	for _, e := range f.sorted(h) {
+		if seen[e] || !e.Durable || e.Wish != pipeline.Keep {
+			continue
+		}
+		stop, _ := f.mustStop(e)
+		switch {
+		case !stop && e.Job.Shape == pipeline.Gang && e.Job.N > 1 && e.Seen >= pipeline.Waiting && proof:
+			// The worker lost it: the rest of the gang cannot go on.
+			f.breakGang(e.Job)
+			f.Jobs.Clear(e)
+		case !stop && entitled:
+			starts = append(starts, Order{Verb: "start", Shard: shardName(e), Try: e.Try})
+			h.Images[e.Job.Bundle] = true
+		case stop && proof:
+			// One report is in flight at a time and responses never execute
+			// late: a start that is not in this report will not happen.
+			f.Jobs.Clear(e)
+		}
+	}
+	h.Answered = now
+	// Reaps first: a start is refused while another attempt is listed.
+	return append(append(reaps, stops...), starts...), true
+}
+
+func (f *Fleet) note(h *Host, r *Report, now step.Time) {
+	if r.Tenure != h.Tenure && h.Tenure != 0 {
+		h.Images = map[int]bool{}
+		f.log.Info("worker lost its lease", "host", r.Host, "tenure", r.Tenure)
+	}
+	if h.Heard == 0 {
+		f.Jobs.Changed = true
+	}
+	h.Addr, h.Spot, h.Tenure, h.Tick, h.Heard = r.Addr, r.Spot, r.Tenure, r.Tick, now
+	h.Flavor, h.Zone, h.Known = f.Names.Flavors.Index(r.Flavor), f.Names.Zones.Index(r.Yard), true
+	if r.Recall != nil && h.RecallAt == 0 {
+		h.RecallAt = now + time.Duration(*r.Recall*float64(time.Second))
+		f.Jobs.Changed = true
+	} else if r.Recall == nil && h.RecallAt != 0 {
+		h.RecallAt = 0
+	}
+}
+
+// progress takes in what a report says of a task that we know of.
+func (f *Fleet) progress(h *Host, e *pipeline.Entry, s Shard, now step.Time) {
+	j := e.Job
+	ph := phases[s.Phase]
+	if ph >= pipeline.Waiting && ph < pipeline.Exited && e.Started == 0 {
+		e.Started = int64(now)
+	}
+	e.Seen = ph
+	if ph != pipeline.Exited {
+		return
+	}
+	f.Jobs.Changed = true
+	if j.Final == pipeline.Cancelled {
+		f.Jobs.Clear(e)
+		return
+	}
+	switch s.Cause {
+	case "done":
+		clear(h.Errors)
+		j.Errors = 0
+		if f.OnDone != nil && e.Wish != pipeline.MarkDone {
+			f.OnDone(j, e, now)
+		}
+		if j.Shape == pipeline.Gang {
+			// They complete together: when one task is done, all are.
+			for t := 0; t < j.N; t++ {
+				f.Jobs.MarkDone(j, t)
+			}
+			return
+		}
+		f.Jobs.MarkDone(j, e.Task)
+		return
+	case "error":
+		if e.Wish == pipeline.Keep {
+			f.failed(h, j, now)
+		}
+	case "full", "in_use":
+		h.Refused = now + refusedPause
+	case "unknown":
+		f.park(j, now)
+	}
+	if j.Shape == pipeline.Gang && j.N > 1 {
+		f.breakGang(j)
+	}
+	f.Jobs.Clear(e)
+}
+
+// failed sorts out whether the machine or the job is at fault.
+func (f *Fleet) failed(h *Host, j *pipeline.Job, now step.Time) {
+	f.log.Info("task failed", "job", j.ID, "host", h.Name)
+	if j.BadHosts == nil {
+		j.BadHosts = map[int]bool{}
+	}
+	j.BadHosts[h.Index] = true
+	if h.Errors == nil {
+		h.Errors = map[int]bool{}
+	}
+	h.Errors[j.Index] = true
+	if len(j.BadHosts) >= faultyHosts {
+		// The job fails everywhere: its user may still cancel it, nobody
+		// else may end it, so it is tried again ever more rarely. The
+		// machines are not to blame.
+		for b := range j.BadHosts {
+			if o := f.At(b); o != nil {
+				delete(o.Errors, j.Index)
+			}
+		}
+		j.BadHosts = nil
+		f.park(j, now)
+	}
+}
+
+func (f *Fleet) park(j *pipeline.Job, now step.Time) {
+	j.Errors++
+	pause := min(parkMost, parkBase<<min(j.Errors-1, 8))
+	j.Parked = int64(now + pause)
+	f.log.Info("job parked", "job", j.ID, "for", pause)
+}
+
+func (f *Fleet) breakGang(j *pipeline.Job) {
+	j.Breaking = true
+	j.Entries(func(e *pipeline.Entry) {
+		if !e.Evict {
+			e.Evict, e.Wind = true, j.SnapCost+1
+		}
+		if !e.Durable {
+			f.Jobs.Clear(e)
+		}
+	})
+}
+
+// mustStop tells whether a task is to be stopped, and with how much grace.
+func (f *Fleet) mustStop(e *pipeline.Entry) (bool, float64) {
+	if e.Job.Final != pipeline.Queued {
+		return true, 0
+	}
+	return e.Evict, e.Wind
+}
+
+// Evict asks for a task to be stopped so that it can run elsewhere. A gang
+// stops as a whole.
+func (f *Fleet) Evict(e *pipeline.Entry, wind float64) {
+	if e.Evict {
+		return
+	}
+	f.Jobs.Changed = true
+	if e.Job.Shape == pipeline.Gang && e.Job.N > 1 {
+		f.breakGang(e.Job)
+		return
+	}
+	e.Evict, e.Wind = true, wind
+	if !e.Durable {
+		f.Jobs.Clear(e)
+	}
+}
+
+func (f *Fleet) sorted(h *Host) []*pipeline.Entry {
+	m := f.Jobs.OnHost(h.Index)
+	if len(m) == 0 {
+		return nil
+	}
+	list := make([]*pipeline.Entry, 0, len(m))
+	for e := range m {
+		list = append(list, e)
+	}
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].Job.Order != list[b].Job.Order {
+			return list[a].Job.Order < list[b].Job.Order
+		}
+		return list[a].Task < list[b].Task
+	})
+	return list
+}
+
+// Tick sends stops straight to workers, finds machines whose tasks are surely
+// gone and re-arms gangs whose old attempt has ended.
+func (f *Fleet) Tick(now step.Time, term Term, out *step.Out) {
+	for _, h := range f.Hosts {
+		if h == nil {
+			continue
+		}
+		if len(f.Jobs.OnHost(h.Index)) > 0 {
+			h.IdleFrom = now
+		}
+		f.directStops(h, now, term, out)
+	}
+	f.Jobs.HostsInUse(func(i int) {
+		h := f.At(i)
+		if h == nil {
+			h = f.Host(f.Names.Hosts.Name(i), now)
+		}
+		if now >= term.SilentProof(max(h.Answered, h.Heard)) {
+			f.Gone(h, now)
+		}
+	})
+	for _, j := range f.Jobs.Jobs {
+		if j != nil && j.Breaking && j.Active() == 0 {
+			j.Breaking = false
+			f.Jobs.Changed = true
+		}
+	}
+}
+
+// Gone clears everything on a machine that is proven to run nothing.
+func (f *Fleet) Gone(h *Host, now step.Time) {
+	f.log.Info("machine gone", "host", h.Name, "tasks", len(f.Jobs.OnHost(h.Index)))
+	for _, e := range f.sorted(h) {
+		if e.Job.Shape == pipeline.Gang && e.Job.N > 1 {
+			f.breakGang(e.Job)
+		}
+		f.Jobs.Clear(e)
+	}
+	h.Heard = 0
+	f.Jobs.Changed = true
+}
+
+// directStops sends stops that cannot wait for the next report. Executed
+// late they do no harm: they name an attempt, and attempts are not reused.
+func (f *Fleet) directStops(h *Host, now step.Time, term Term, out *step.Out) {
+	if h.Heard == 0 || h.Addr == "" || now-h.direct < directEvery {
+		return
+	}
+	var orders []Order
+	for _, e := range f.sorted(h) {
+		if e.Durable && e.Wish == pipeline.Keep && e.Seen != pipeline.Unseen && e.Seen < pipeline.Saving {
+			if stop, wind := f.mustStop(e); stop {
+				orders = append(orders, Order{Verb: "stop", Shard: shardName(e), Try: e.Try, Wind: &wind})
+			}
+		}
+	}
+	if len(orders) == 0 {
+		return
+	}
+	h.direct = now
+	body, _ := json.Marshal(struct {
+		Fence  uint64  `json:"fence"`
+		Tenure uint64  `json:"tenure"`
+		Orders []Order `json:"orders"`
+	}{term.Fence(), h.Tenure, orders})
+	f.addr[out.Call(h.Addr, "POST", "/do", body, directWait)] = true
+}
+
+// CallDone takes the outcome of a direct command: the worker's next report
+// tells what became of it.
+func (f *Fleet) CallDone(d step.CallDone) bool {
+	if !f.addr[d.ID] {
+		return false
+	}
+	delete(f.addr, d.ID)
+	return true
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,377 @@
+// Package intake serves the users: submissions, polls, cancellations.
+package intake
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math"
+	"regexp"
+	"strings"
+	"time"
+
+	"lugward/internal/config"
+	"lugward/internal/pipeline"
+	"lugward/internal/place"
+	"lugward/internal/step"
+	"lugward/internal/store"
+)
+
+// Config are the settings of this slice.
+type Config struct {
+	Label      string
+	Teams      []config.Team
+	Answer     time.Duration // a request that is not decided by then gets 503
+	ValueBytes int
+}
+
+const (
+	maxShards  = 100_000
+	retryAfter = 1 // seconds, told with 503
+	// The state service counts as out when nothing of ours got through for
+	// this long; requests that need it are then refused at once.
+	outFor      = time.Second
+	cancelTries = 6
+)
+
+// Intake is the slice.
+type Intake struct {
+	cfg     Config
+	names   *pipeline.Names
+	jobs    *pipeline.Table
+	store   *store.Client
+	flavors *place.Flavors
+	teams   map[string]config.Team
+}
+
+// New returns the slice.
+func New(cfg Config, n *pipeline.Names, t *pipeline.Table, s *store.Client, f *place.Flavors) *Intake {
+	in := &Intake{cfg: cfg, names: n, jobs: t, store: s, flavors: f, teams: map[string]config.Team{}}
+	for _, t := range cfg.Teams {
+		in.teams[t.Name] = t
+	}
+	return in
+}
+
+// Handle serves a request below /submissions; it tells whether it was one.
+func (in *Intake) Handle(now step.Time, r step.Request, out *step.Out) bool {
+	path, _, _ := strings.Cut(r.Path, "?")
+	rest, ok := strings.CutPrefix(path, "/submissions")
+	if !ok {
+		return false
+	}
+	id, tail, _ := strings.Cut(strings.TrimPrefix(rest, "/"), "/")
+	switch {
+	case rest == "" && r.Method == "POST":
+		in.submit(now, r, out)
+	case strings.HasPrefix(rest, "/") && id != "" && tail == "" && !strings.HasSuffix(rest, "/") && r.Method == "GET":
+		in.poll(now, r.Conn, id, out)
+	case strings.HasPrefix(rest, "/") && id != "" && tail == "cancel" && r.Method == "POST":
+		in.cancel(now, r.Conn, id, 0, out)
+	case rest == "" || (id != "" && (tail == "" || tail == "cancel")):
+		out.Reply(r.Conn, 405, nil)
+	default:
+		out.Reply(r.Conn, 404, nil)
+	}
+	return true
+}
+
+var phaseNames = [...]string{pipeline.Queued: "queued", pipeline.Running: "running", pipeline.Done: "done", pipeline.Cancelled: "cancelled"}
+
+type answer struct {
+	ID      string `json:"name_id"`
+	Phase   string `json:"phase"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+func (in *Intake) final(id string, f pipeline.Final) []byte {
+	a := answer{ID: id, Phase: phaseNames[f.Phase]}
+	if f.Phase == pipeline.Done {
+		a.Done = f.N
+	}
+	b, _ := json.Marshal(a)
+	return b
+}
+
+// state answers from the replica; nil if the job is not known.
+func (in *Intake) state(id string) []byte {
+	if f, ok := in.jobs.Finals[id]; ok {
+		return in.final(id, f)
+	}
+	j := in.jobs.Job(id)
+	if j == nil || j.Stamp == 0 {
+		return nil
+	}
+	a := answer{ID: id, Phase: phaseNames[j.Phase()], Done: j.DoneCount(), Running: j.Active()}
+	b, _ := json.Marshal(a)
+	return b
+}
+
+func (in *Intake) out(now step.Time) bool {
+	return !in.store.Synced() || (in.store.Outage() && now-in.store.Contact() > outFor)
+}
+
+// poll answers a final state from memory, since it never changes. Anything
+// else waits for a read barrier: no answer may be older than one that any
+// node has given.
+func (in *Intake) poll(now step.Time, conn uint64, id string, out *step.Out) {
+	if f, ok := in.jobs.Finals[id]; ok {
+		out.Reply(conn, 200, in.final(id, f))
+		return
+	}
+	if in.out(now) {
+		out.Busy(conn, retryAfter)
+		return
+	}
+	in.store.Barrier(func(_ step.Time, ok bool, out *step.Out) {
+		if !ok {
+			out.Busy(conn, retryAfter)
+		} else if s := in.state(id); s != nil {
+			out.Reply(conn, 200, s)
+		} else {
+			out.Reply(conn, 404, nil)
+		}
+	})
+}
+
+func (in *Intake) cancel(now step.Time, conn uint64, id string, tries int, out *step.Out) {
+	if f, ok := in.jobs.Finals[id]; ok {
+		out.Reply(conn, 200, in.final(id, f))
+		return
+	}
+	if in.out(now) || tries >= cancelTries {
+		out.Busy(conn, retryAfter)
+		return
+	}
+	j := in.jobs.Job(id)
+	if j == nil || j.Stamp == 0 {
+		in.store.Barrier(func(now step.Time, ok bool, out *step.Out) {
+			switch {
+			case !ok:
+				out.Busy(conn, retryAfter)
+			case in.state(id) == nil:
+				out.Reply(conn, 404, nil)
+			default:
+				in.cancel(now, conn, id, tries+1, out)
+			}
+		})
+		return
+	}
+	in.store.Submit(&store.Intent{Priority: store.Cancel,
+		Conds:  []store.Cond{{Key: pipeline.JobKeyOf(id), Stamp: j.Stamp}, {Key: pipeline.FinalKeyOf(id)}},
+		Writes: []store.Write{{Key: pipeline.FinalKeyOf(id), Data: pipeline.EncodeFinal(pipeline.Cancelled, j.N)}},
+		Done: func(r store.Result) {
+			switch r.Outcome {
+			case store.OK:
+				in.cancel(r.Now, conn, id, tries, r.Out) // answers from the mark
+			case store.Refused:
+				r.Out.Busy(conn, retryAfter)
+			default:
+				// Done meanwhile, or carried out unseen: what the store says
+				// now decides.
+				in.store.Barrier(func(now step.Time, ok bool, out *step.Out) {
+					if !ok {
+						out.Busy(conn, retryAfter)
+						return
+					}
+					in.cancel(now, conn, id, tries+1, out)
+				})
+			}
+		}}, now+in.cfg.Answer)
+}
+
+type submission struct {
+	ID        *string   `json:"name_id"`
+	Class     *string   `json:"jobclass"`
+	Owner     *string   `json:"owner"`
+	Shape     *string   `json:"shape"`
+	Rank      *string   `json:"rank"`
+	Shards    *int      `json:"shards"`
+	Cores     *float64  `json:"cores"`
+	Cards     *float64  `json:"cards"`
+	RAM       *float64  `json:"ram_gb"`
+	Bundle    *string   `json:"bundle"`
+	ImageGB   *float64  `json:"image_gb"`
+	Flavors   []*string `json:"flavors"`
+	Yard      *string   `json:"yard"`
+	SamePlace *bool     `json:"same_place"`
+	Scatter   *bool     `json:"scatter"`
+	Loaners   *bool     `json:"loaners"`
+	Expect    *float64  `json:"expect_s"`
+	SnapEvery *float64  `json:"snapshot_every_s"`
+	SnapCost  *float64  `json:"snapshot_s"`
+	Due       *float64  `json:"due_s"`
+}
+
+var (
+	idForm = regexp.MustCompile(`^req-[0-9]{1,19}$`)
+	shapes = map[string]pipeline.Shape{"array": pipeline.Array, "gang": pipeline.Gang, "daemon": pipeline.Daemon}
+	ranks  = map[string]pipeline.Rank{"production": pipeline.Production, "high": pipeline.High, "normal": pipeline.Normal, "idle": pipeline.Idle}
+
+	errMalformed  = errors.New("malformed")
+	errImpossible = errors.New("can never run")
+	errUndecided  = errors.New("machine types are not known yet")
+)
+
+func (s *submission) complete() bool {
+	for _, p := range []*string{s.ID, s.Class, s.Owner, s.Shape, s.Rank, s.Bundle} {
+		if p == nil || *p == "" {
+			return false
+		}
+	}
+	for _, p := range []*float64{s.Cores, s.Cards, s.RAM, s.ImageGB, s.Expect, s.SnapEvery, s.SnapCost} {
+		if p == nil || !(*p >= 0) || math.IsInf(*p, 0) {
+			return false
+		}
+	}
+	for _, p := range []*bool{s.SamePlace, s.Scatter, s.Loaners} {
+		if p == nil {
+			return false
+		}
+	}
+	if s.Due != nil && !(*s.Due >= 0) || s.Shards == nil || *s.Shards < 1 || *s.Shards > maxShards {
+		return false
+	}
+	if s.Yard != nil && *s.Yard == "" || (s.Flavors != nil && len(s.Flavors) == 0) {
+		return false
+	}
+	for _, f := range s.Flavors {
+		if f == nil || *f == "" {
+			return false
+		}
+	}
+	_, shapeOK := shapes[*s.Shape]
+	_, rankOK := ranks[*s.Rank]
+	return shapeOK && rankOK && idForm.MatchString(*s.ID)
+}
+
+func parse(body []byte) (*submission, error) {
+	s := &submission{}
+	if t := bytes.TrimSpace(body); len(t) == 0 || t[0] != '{' || json.Unmarshal(body, s) != nil || !s.complete() {
+		return nil, errMalformed
+	}
+	return s, nil
+}
+
+// job turns a submission into a vertex, or says why it can never run.
+func (in *Intake) job(s *submission) (*pipeline.Job, error) {
+	team, ok := in.teams[*s.Owner]
+	if !ok {
+		return nil, errImpossible
+	}
+	if len(*in.flavors) == 0 {
+		return nil, errUndecided
+	}
+	j := &pipeline.Job{ID: *s.ID, Owner: in.cfg.Label, Ready: true, Spec: pipeline.Spec{
+		Shape: shapes[*s.Shape], Rank: ranks[*s.Rank], N: *s.Shards, Cores: *s.Cores, Cards: *s.Cards, RAM: *s.RAM,
+		ImageGB: *s.ImageGB, Zone: -1, SamePlace: *s.SamePlace, Scatter: *s.Scatter, Loaners: *s.Loaners,
+		Expect: *s.Expect, SnapEvery: *s.SnapEvery, SnapCost: *s.SnapCost}}
+	if s.Due != nil {
+		j.Due = *s.Due
+	}
+	if s.Yard != nil {
+		if j.Zone, ok = in.names.Zones.Lookup(*s.Yard); !ok {
+			return nil, errImpossible
+		}
+	}
+	for _, f := range s.Flavors {
+		if i, ok := in.names.Flavors.Lookup(*f); ok {
+			j.Flavors = append(j.Flavors, i)
+		}
+	}
+	if s.Flavors != nil && j.Flavors == nil {
+		return nil, errImpossible
+	}
+	fits := false
+	for _, f := range *in.flavors {
+		fits = fits || place.Allowed(&j.Spec, f)
+	}
+	n := 1.0
+	if j.Whole() {
+		n = float64(j.N)
+	}
+	const eps = 1e-6
+	if !fits || (team.CoresMax > 0 && n*j.Cores > team.CoresMax+eps) || (team.CardsMax > 0 && n*j.Cards > team.CardsMax+eps) {
+		return nil, errImpossible
+	}
+	if j.Scatter && j.SamePlace && j.N > 1 && j.Shape != pipeline.Array {
+		return nil, errImpossible // at most half in a zone, and all in one
+	}
+	j.Class, j.Team, j.Bundle = in.names.Classes.Index(*s.Class), in.names.Teams.Index(*s.Owner), in.names.Bundles.Index(*s.Bundle)
+	return j, nil
+}
+
+// submit accepts a job once its vertex is stored.
+func (in *Intake) submit(now step.Time, r step.Request, out *step.Out) {
+	s, err := parse(r.Body)
+	if err != nil {
+		out.Reply(r.Conn, 400, nil)
+		return
+	}
+	id := *s.ID
+	if f, ok := in.jobs.Finals[id]; ok {
+		out.Reply(r.Conn, 200, in.final(id, f))
+		return
+	}
+	if in.out(now) {
+		out.Busy(r.Conn, retryAfter)
+		return
+	}
+	if j := in.jobs.Job(id); j != nil && j.Stamp != 0 {
+		in.poll(now, r.Conn, id, out) // known: never 400 or 422 from here on
+		return
+	}
+	j, err := in.job(s)
+	switch {
+	case errors.Is(err, errUndecided):
+		out.Busy(r.Conn, retryAfter)
+		return
+	case err != nil:
+		// The job may have been accepted a moment ago by a node that knew
+		// another list of machine types: only an id that the store does not
+		// hold is refused.
+		in.store.Barrier(func(_ step.Time, ok bool, out *step.Out) {
+			if !ok {
+				out.Busy(r.Conn, retryAfter)
+			} else if st := in.state(id); st != nil {
+				out.Reply(r.Conn, 200, st)
+			} else {
+				out.Reply(r.Conn, 422, nil)
+			}
+		})
+		return
+	}
+	data := pipeline.Encode(in.names, j)
+	if len(data) > in.cfg.ValueBytes {
+		out.Reply(r.Conn, 400, nil)
+		return
+	}
+	in.store.Submit(&store.Intent{Priority: store.Accept,
+		Conds:  []store.Cond{{Key: pipeline.JobKeyOf(id)}, {Key: pipeline.FinalKeyOf(id)}},
+		Writes: []store.Write{{Key: pipeline.JobKeyOf(id), Data: data}},
+		Done: func(res store.Result) {
+			switch res.Outcome {
+			case store.OK:
+				b, _ := json.Marshal(answer{ID: id, Phase: phaseNames[pipeline.Queued]})
+				res.Out.Reply(r.Conn, 201, b)
+			case store.Refused:
+				res.Out.Busy(r.Conn, retryAfter)
+			default:
+				in.afterUnknown(r.Conn, id)
+			}
+		}}, now+in.cfg.Answer)
+}
+
+// afterUnknown answers a submission whose write conflicted or whose outcome
+// did not come: the store is read, nothing is guessed. A write that lands
+// after that leaves an accepted job, which a retry then finds.
+func (in *Intake) afterUnknown(conn uint64, id string) {
+	in.store.Barrier(func(_ step.Time, ok bool, out *step.Out) {
+		if st := in.state(id); ok && st != nil {
+			out.Reply(conn, 200, st)
+		} else {
+			out.Busy(conn, retryAfter)
+		}
+	})
+}
--- /dev/null
+++ b/internal/pipeline/job.go
@@ -0,0 +1,234 @@
+// Package pipeline holds the graph of jobs as it is logged in the state
+// service: job records, run records (what may be on which machine, what is
+// done) and final marks. Every controller keeps the same table by listening
+// to the store; only the leader adds wishes, which become writes.
+package pipeline
+
+import "lugward/internal/ids"
+
+// Shape of a job.
+type Shape uint8
+
+// The shapes.
+const (
+	Array Shape = iota
+	Gang
+	Daemon
+)
+
+// Rank orders jobs; a higher rank is more important.
+type Rank uint8
+
+// The ranks.
+const (
+	Idle Rank = iota
+	Normal
+	High
+	Production
+)
+
+// Phase of a job as users see it.
+type Phase uint8
+
+// The phases.
+const (
+	Queued Phase = iota
+	Running
+	Done
+	Cancelled
+)
+
+// Spec is what a job asks for, with names as dense indices.
+type Spec struct {
+	Class, Team       int
+	Shape             Shape
+	Rank              Rank
+	N                 int // tasks
+	Cores, Cards, RAM float64
+	Bundle            int
+	ImageGB           float64
+	Flavors           []int // nil: any
+	Zone              int   // -1: any
+	SamePlace         bool
+	Scatter           bool
+	Loaners           bool
+	Expect            float64
+	SnapEvery         float64
+	SnapCost          float64
+	Due               float64 // 0: none
+}
+
+// Allows tells whether the job may use a machine type.
+func (s *Spec) Allows(flavor int) bool {
+	if s.Flavors == nil {
+		return true
+	}
+	for _, f := range s.Flavors {
+		if f == flavor {
+			return true
+		}
+	}
+	return false
+}
+
+// Whole tells whether all tasks count together against the team's limit.
+func (s *Spec) Whole() bool { return s.Shape != Array }
+
+// Names are the tables that map names to the indices used everywhere else.
+type Names struct {
+	Classes, Teams, Bundles, Flavors, Zones, Hosts ids.Table
+}
+
+// Entry says that an attempt of a task may be on a machine. It exists from
+// before the start is logged until its end is proven and logged.
+type Entry struct {
+	Job     *Job
+	Task    int
+	Host    int
+	Try     uint64
+	Durable bool // as read back from the state service
+	sent    bool // part of some write whose outcome may still turn out well
+
+	// What the leader has learnt; lost with the term.
+	Wish    Wish
+	Seen    TaskPhase
+	Evict   bool    // to be stopped, to run elsewhere
+	Wind    float64 // grace of that stop
+	Started int64   // steady time in ns when first seen on its machine, 0 before
+	Placed  int64   // steady time in ns of the decision
+}
+
+// Wish is the change the leader wants for an entry.
+type Wish uint8
+
+// The wishes.
+const (
+	Keep Wish = iota
+	Clear
+	MarkDone
+)
+
+// TaskPhase is a task's state as its worker last reported it.
+type TaskPhase uint8
+
+// The task phases.
+const (
+	Unseen TaskPhase = iota
+	Pulling
+	Waiting
+	RunningTask
+	Saving
+	Exited
+)
+
+// Job is a vertex of a pipeline.
+type Job struct {
+	ID    string
+	Index int
+	Spec
+	Owner string
+	Up    []string
+	Ready bool
+	// Order is the epoch at which the job became ready: ready jobs start in
+	// that order.
+	Order uint64
+	Stamp uint64 // of the job record, 0: none held
+	Final Phase  // Done or Cancelled once marked, else Queued
+	Chunk []Chunk
+
+	done     int // tasks marked done in run records
+	active   int // entries
+	chunkLen int
+
+	finishing bool
+	marking   bool
+	// Leader's notes, lost with the term.
+	Parked     int64 // not to be placed before this steady time
+	Errors     int
+	BadHosts   map[int]bool // machines on which a task of the job failed
+	Breaking   bool         // gang: the attempt is being ended
+	FirstSeen  int64
+	doneUnlog  map[int]bool // done tasks whose entry is not ours to mark
+	cleaning   bool
+	PlacedScan int // where the next placement round looks first
+}
+
+// Chunk is the part of a job's run record that one key holds.
+type Chunk struct {
+	Stamp   uint64
+	Try     uint64 // highest attempt used
+	Done    []uint64
+	Entries map[int]*Entry
+	writing bool
+	dirty   bool
+	retryAt int64
+}
+
+// Done counts tasks that are marked done.
+func (j *Job) DoneCount() int {
+	if j.Final == Done {
+		return j.N
+	}
+	return j.done
+}
+
+// Active counts tasks that may be on a machine.
+func (j *Job) Active() int { return j.active }
+
+// IsDone tells whether a task is marked done.
+func (j *Job) IsDone(task int) bool {
+	c, bit := task/j.chunkLen, task%j.chunkLen
+	if c >= len(j.Chunk) || j.Chunk[c].Done == nil {
+		return false
+	}
+	return j.Chunk[c].Done[bit/64]>>(bit%64)&1 == 1
+}
+
+// Entry returns the entry of a task, or nil.
+func (j *Job) Entry(task int) *Entry {
+	c := task / j.chunkLen
+	if c >= len(j.Chunk) {
+		return nil
+	}
+	return j.Chunk[c].Entries[task]
+}
+
+// Entries calls f for every entry of the job.
+func (j *Job) Entries(f func(*Entry)) {
+	if j.active == 0 {
+		return
+	}
+	for i := range j.Chunk {
+		for _, e := range j.Chunk[i].Entries {
+			f(e)
+		}
+	}
+}
+
+// Open tells whether a task waits to be placed.
+func (j *Job) Open(task int) bool {
+	return !j.IsDone(task) && j.Entry(task) == nil && !j.doneUnlog[task]
+}
+
+// OpenCount counts the tasks that wait to be placed.
+func (j *Job) OpenCount() int { return max(0, j.N-j.done-j.active-len(j.doneUnlog)) }
+
+// Phase is what users are told.
+func (j *Job) Phase() Phase {
+	if j.Final != Queued {
+		return j.Final
+	}
+	if j.active > 0 {
+		return Running
+	}
+	return Queued
+}
+
+// MaxTry is the highest attempt used by any task of the job.
+func (j *Job) MaxTry() uint64 {
+	var t uint64
+	for i := range j.Chunk {
+		t = max(t, j.Chunk[i].Try)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/pipeline/table.go
@@ -0,0 +1,651 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"lugward/internal/store"
+)
+
+// Final is a job's final mark.
+type Final struct {
+	Phase Phase
+	N     int
+}
+
+// Usage is what tasks take of machines or of a team's limit.
+type Usage struct{ Cores, Cards, RAM float64 }
+
+// Table is the replica of the graph with the leader's wishes.
+type Table struct {
+	Names    *Names
+	chunkLen int
+	txnOps   int
+	Jobs     []*Job // by index; nil once gone
+	byID     map[string]*Job
+	Finals   map[string]Final
+	byHost   map[int]map[*Entry]bool
+	team     map[int]Usage
+	waiting  map[string][]*Job // upstream id -> jobs held by it
+	dirty    map[*Job]bool
+	free     []int
+
+	// Changed is set whenever something that placement looks at has changed.
+	Changed bool
+}
+
+// NewTable returns an empty table. valueBytes and txnOps are the state
+// service's limits.
+func NewTable(n *Names, valueBytes, txnOps int) *Table {
+	return &Table{Names: n, chunkLen: max(16, min(1024, valueBytes/32)), txnOps: txnOps, byID: map[string]*Job{}, Finals: map[string]Final{},
+		byHost: map[int]map[*Entry]bool{}, team: map[int]Usage{}, waiting: map[string][]*Job{}, dirty: map[*Job]bool{}}
+}
+
+// Job returns an unfinished job, or one that is finished but not cleaned up.
+func (t *Table) Job(id string) *Job { return t.byID[id] }
+
+// OnHost returns the entries of a machine.
+func (t *Table) OnHost(host int) map[*Entry]bool { return t.byHost[host] }
+
+// HostsInUse calls f for every machine with entries.
+func (t *Table) HostsInUse(f func(host int)) {
+	hosts := make([]int, 0, len(t.byHost))
+	for h := range t.byHost {
+		hosts = append(hosts, h)
+	}
+	sort.Ints(hosts)
+	for _, h := range hosts {
+		f(h)
+	}
+}
+
+// Team returns what a team's tasks may be using.
+func (t *Table) Team(team int) Usage { return t.team[team] }
+
+// ChunkLen is the number of tasks one run record covers.
+func (t *Table) ChunkLen() int { return t.chunkLen }
+
+// Listen takes one change of the replica.
+func (t *Table) Listen(kind, rest string, data []byte, stamp uint64) {
+	switch kind {
+	case JobKey:
+		t.onJob(rest, data, stamp)
+	case RunKey:
+		i := strings.LastIndexByte(rest, '/')
+		if i < 0 {
+			return
+		}
+		if c, err := strconv.Atoi(rest[i+1:]); err == nil && c >= 0 {
+			t.onRun(rest[:i], c, data, stamp)
+		}
+	case FinalKey:
+		t.onFinal(rest, data)
+	default:
+		return
+	}
+	t.Changed = true
+}
+
+// get returns the job, adding an empty one for records that arrive first.
+func (t *Table) get(id string) *Job {
+	j := t.byID[id]
+	if j == nil {
+		j = &Job{ID: id, chunkLen: t.chunkLen, Spec: Spec{Zone: -1}}
+		if n := len(t.free); n > 0 {
+			j.Index, t.free = t.free[n-1], t.free[:n-1]
+			t.Jobs[j.Index] = j
+		} else {
+			j.Index = len(t.Jobs)
+			t.Jobs = append(t.Jobs, j)
+		}
+		t.byID[id] = j
+		if f, ok := t.Finals[id]; ok {
+			j.Final = f.Phase
+		}
+	}
+	return j
+}
+
+// forget removes a job of which no key is left.
+func (t *Table) forget(j *Job) {
+	if j.Stamp != 0 || j.active > 0 {
+		return
+	}
+	for i := range j.Chunk {
+		if j.Chunk[i].Stamp != 0 {
+			return
+		}
+	}
+	delete(t.byID, j.ID)
+	delete(t.dirty, j)
+	t.Jobs[j.Index] = nil
+	t.free = append(t.free, j.Index)
+}
+
+func (t *Table) onJob(id string, data []byte, stamp uint64) {
+	if data == nil {
+		if j := t.byID[id]; j != nil {
+			j.Stamp = 0
+			t.forget(j)
+		}
+		return
+	}
+	j := t.get(id)
+	was := j.Ready
+	// Entries count by the spec; with none known yet they counted nothing.
+	t.recount(j, -1)
+	if !decode(t.Names, data, j) {
+		t.recount(j, 1)
+		return
+	}
+	t.recount(j, 1)
+	j.Stamp = stamp
+	if j.Ready && !was {
+		j.Order = stamp
+	}
+	if !j.Ready {
+		for _, up := range j.Up {
+			t.waiting[up] = append(t.waiting[up], j)
+		}
+	}
+}
+
+func (t *Table) recount(j *Job, sign float64) {
+	j.Entries(func(e *Entry) { t.count(e, sign) })
+}
+
+func (t *Table) count(e *Entry, sign float64) {
+	u := t.team[e.Job.Team]
+	u.Cores += sign * e.Job.Cores
+	u.Cards += sign * e.Job.Cards
+	t.team[e.Job.Team] = u
+}
+
+func (t *Table) add(e *Entry) {
+	e.Job.active++
+	t.count(e, 1)
+	m := t.byHost[e.Host]
+	if m == nil {
+		m = map[*Entry]bool{}
+		t.byHost[e.Host] = m
+	}
+	m[e] = true
+}
+
+func (t *Table) remove(e *Entry) {
+	e.Job.active--
+	t.count(e, -1)
+	m := t.byHost[e.Host]
+	delete(m, e)
+	if len(m) == 0 {
+		delete(t.byHost, e.Host)
+	}
+}
+
+// chunk returns the job's chunk c, growing the list.
+func (t *Table) chunk(j *Job, c int) *Chunk {
+	for len(j.Chunk) <= c {
+		j.Chunk = append(j.Chunk, Chunk{Done: make([]uint64, (t.chunkLen+63)/64), Entries: map[int]*Entry{}})
+	}
+	return &j.Chunk[c]
+}
+
+// onRun replaces what the table knows of a chunk by what is stored: this is
+// the only place where an entry becomes durable or goes away for good.
+func (t *Table) onRun(id string, c int, data []byte, stamp uint64) {
+	if data == nil && t.byID[id] == nil {
+		return
+	}
+	if c > 1<<20/t.chunkLen {
+		return
+	}
+	j := t.get(id)
+	ch := t.chunk(j, c)
+	var try uint64
+	var done []uint64
+	var active []runEntry
+	if data != nil {
+		var ok bool
+		if try, done, active, ok = decodeRun(data, len(ch.Done)); !ok {
+			return
+		}
+		ch.Try = max(ch.Try, try)
+		for i := range done {
+			ch.Done[i] |= done[i] // a done task stays done
+		}
+	}
+	ch.Stamp = stamp
+	if data == nil {
+		ch.Stamp = 0
+	}
+	stored := map[int]*Entry{}
+	for _, a := range active {
+		host := t.Names.Hosts.Index(a.host)
+		e := ch.Entries[a.task]
+		if e == nil || e.Host != host || e.Try != a.try {
+			if e != nil {
+				t.remove(e)
+			}
+			e = &Entry{Job: j, Task: a.task, Host: host, Try: a.try}
+			ch.Entries[a.task] = e
+			t.add(e)
+		}
+		e.Durable, e.sent = true, true
+		stored[a.task] = e
+	}
+	for task, e := range ch.Entries {
+		if stored[task] == nil && (e.Durable || j.Final != Queued || j.IsDone(task)) {
+			delete(ch.Entries, task)
+			t.remove(e)
+		}
+	}
+	n := 0
+	for i := range j.Chunk {
+		for _, w := range j.Chunk[i].Done {
+			for ; w != 0; w &= w - 1 {
+				n++
+			}
+		}
+	}
+	j.done = n
+	for task := range j.doneUnlog {
+		if j.IsDone(task) {
+			delete(j.doneUnlog, task)
+		}
+	}
+	if data == nil {
+		t.forget(j)
+	}
+}
+
+func (t *Table) onFinal(id string, data []byte) {
+	if data == nil {
+		return // never dropped
+	}
+	var r finalRecord
+	if json.Unmarshal(data, &r) != nil {
+		return
+	}
+	f := Final{Phase: Done, N: r.N}
+	if r.Phase == markCancelled {
+		f.Phase = Cancelled
+	}
+	t.Finals[id] = f
+	if j := t.byID[id]; j != nil {
+		j.Final = f.Phase
+		// A placement that is not stored by now never will be: its write
+		// requires that there is no final mark.
+		for i := range j.Chunk {
+			for task, e := range j.Chunk[i].Entries {
+				if !e.Durable {
+					delete(j.Chunk[i].Entries, task)
+					t.remove(e)
+				}
+			}
+		}
+		t.forget(j)
+	}
+}
+
+// Held returns the jobs that an upstream mark may have freed, for their
+// owners to mark ready.
+func (t *Table) Held() []*Job {
+	var list []*Job
+	for up, jobs := range t.waiting {
+		if t.Finals[up].Phase != Done {
+			continue
+		}
+		for _, j := range jobs {
+			if t.byID[j.ID] == j && !j.Ready && j.Final == Queued && t.upDone(j) {
+				list = append(list, j)
+			}
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Stamp < list[b].Stamp })
+	return list
+}
+
+func (t *Table) upDone(j *Job) bool {
+	for _, up := range j.Up {
+		if t.Finals[up].Phase != Done {
+			return false
+		}
+	}
+	return true
+}
+
+// Released is to be called when a held job is ready or over.
+func (t *Table) Released(j *Job) {
+	for _, up := range j.Up {
+		list := t.waiting[up]
+		for i, o := range list {
+			if o == j {
+				list = append(list[:i:i], list[i+1:]...)
+				break
+			}
+		}
+		if len(list) == 0 {
+			delete(t.waiting, up)
+		} else {
+			t.waiting[up] = list
+		}
+	}
+}
+
+// Ready returns unfinished ready jobs with tasks to place, the more important
+// first and then in the order in which they became ready.
+func (t *Table) Ready(now int64) []*Job {
+	var list []*Job
+	for _, j := range t.Jobs {
+		if j != nil && j.Stamp != 0 && j.Ready && j.Final == Queued && j.OpenCount() > 0 && !j.Breaking && j.Parked <= now {
+			list = append(list, j)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].Rank != list[b].Rank {
+			return list[a].Rank > list[b].Rank
+		}
+		return list[a].Order < list[b].Order
+	})
+	return list
+}
+
+// Place records the wish to start a task on a machine. The start may be sent
+// once the entry is durable.
+func (t *Table) Place(j *Job, task, host int, try uint64, now int64) *Entry {
+	ch := t.chunk(j, task/t.chunkLen)
+	if try == 0 {
+		try = ch.Try + 1
+	}
+	ch.Try = max(ch.Try, try)
+	e := &Entry{Job: j, Task: task, Host: host, Try: try, Placed: now}
+	ch.Entries[task] = e
+	t.add(e)
+	t.touch(j, ch)
+	return e
+}
+
+func (t *Table) touch(j *Job, ch *Chunk) {
+	ch.dirty = true
+	t.dirty[j] = true
+}
+
+// Clear records that an attempt is proven to be gone.
+func (t *Table) Clear(e *Entry) {
+	if e.Wish == MarkDone {
+		return
+	}
+	ch := &e.Job.Chunk[e.Task/t.chunkLen]
+	if !e.sent && !e.Durable {
+		// Never part of a write: nothing to undo.
+		if ch.Entries[e.Task] == e {
+			delete(ch.Entries, e.Task)
+			t.remove(e)
+			t.Changed = true
+		}
+		return
+	}
+	if e.Wish != Clear {
+		e.Wish = Clear
+		t.touch(e.Job, ch)
+	}
+}
+
+// MarkDone records that a task has completed, whichever attempt it was.
+func (t *Table) MarkDone(j *Job, task int) {
+	if task < 0 || task >= j.N || j.IsDone(task) || j.Final != Queued {
+		return
+	}
+	ch := t.chunk(j, task/t.chunkLen)
+	if e := ch.Entries[task]; e != nil {
+		if e.Wish != MarkDone {
+			e.Wish = MarkDone
+			t.touch(j, ch)
+		}
+		return
+	}
+	if !j.doneUnlog[task] {
+		if j.doneUnlog == nil {
+			j.doneUnlog = map[int]bool{}
+		}
+		j.doneUnlog[task] = true
+		t.touch(j, ch)
+	}
+}
+
+// Forget drops everything that only a leader knows.
+func (t *Table) Forget() {
+	for _, j := range t.Jobs {
+		if j == nil {
+			continue
+		}
+		j.BadHosts = nil
+		j.Parked, j.Errors, j.Breaking, j.FirstSeen, j.doneUnlog, j.cleaning, j.finishing = 0, 0, false, 0, nil, false, false
+		for i := range j.Chunk {
+			ch := &j.Chunk[i]
+			ch.dirty, ch.retryAt = false, 0
+			for task, e := range ch.Entries {
+				if !e.Durable {
+					delete(ch.Entries, task)
+					t.remove(e)
+					continue
+				}
+				e.Wish, e.Seen, e.Evict, e.Started, e.Placed = Keep, Unseen, false, 0, 0
+			}
+		}
+	}
+	clear(t.dirty)
+	t.Changed = true
+}
+
+// keys
+func jobKey(id string) string        { return JobKey + "/" + id }
+func finalKey(id string) string      { return FinalKey + "/" + id }
+func runKey(id string, c int) string { return RunKey + "/" + id + "/" + strconv.Itoa(c) }
+
+// JobKeyOf and FinalKeyOf name a job's keys for other slices.
+func JobKeyOf(id string) string   { return jobKey(id) }
+func FinalKeyOf(id string) string { return finalKey(id) }
+
+const (
+	writeFor  = 20 * time.Second // a wish waits this long for the write rate
+	retryWait = int64(200 * time.Millisecond)
+)
+
+// Submitter queues intents; *store.Client is one.
+type Submitter interface {
+	Submit(in *store.Intent, expires time.Duration)
+}
+
+// Flush turns wishes into intents. term is the condition that our term holds.
+func (t *Table) Flush(now time.Duration, term store.Cond, s Submitter) {
+	if len(t.dirty) == 0 {
+		return
+	}
+	list := make([]*Job, 0, len(t.dirty))
+	for j := range t.dirty {
+		list = append(list, j)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Order < list[b].Order })
+	for _, j := range list {
+		if t.finish(j, now, term, s) {
+			continue
+		}
+		left := false
+		for c := range j.Chunk {
+			ch := &j.Chunk[c]
+			if !ch.dirty {
+				continue
+			}
+			left = true
+			if !ch.writing && int64(now) >= ch.retryAt {
+				t.write(j, c, now, term, s)
+			}
+		}
+		if !left {
+			delete(t.dirty, j)
+		}
+	}
+}
+
+// complete tells whether every task is done, counting what is not stored yet.
+func (j *Job) complete() bool {
+	if j.Shape == Daemon || j.Final != Queued || j.Stamp == 0 {
+		return false
+	}
+	n := j.done + len(j.doneUnlog)
+	if n+j.active < j.N {
+		return false
+	}
+	j.Entries(func(e *Entry) {
+		if e.Wish == MarkDone {
+			n++
+		}
+	})
+	return n >= j.N
+}
+
+// finish marks a job done and drops its records in one transaction.
+func (t *Table) finish(j *Job, now time.Duration, term store.Cond, s Submitter) bool {
+	if j.finishing {
+		return true
+	}
+	if !j.complete() {
+		return false
+	}
+	for c := range j.Chunk {
+		if j.Chunk[c].writing || int64(now) < j.Chunk[c].retryAt {
+			return true // the stamps are about to change
+		}
+	}
+	in := &store.Intent{Priority: store.Progress,
+		Conds:  []store.Cond{term, {Key: jobKey(j.ID), Stamp: j.Stamp}, {Key: finalKey(j.ID)}},
+		Writes: []store.Write{{Key: finalKey(j.ID), Data: EncodeFinal(Done, j.N)}, {Key: jobKey(j.ID)}}}
+	if len(j.Chunk)+len(in.Writes) <= t.txnOps {
+		for c := range j.Chunk {
+			in.Conds = append(in.Conds, store.Cond{Key: runKey(j.ID, c), Stamp: j.Chunk[c].Stamp})
+			if j.Chunk[c].Stamp != 0 {
+				in.Writes = append(in.Writes, store.Write{Key: runKey(j.ID, c)})
+			}
+		}
+	} else if j.done < j.N {
+		// Too many records for one transaction: the done bits are stored
+		// first, the mark follows, and Clean drops the records.
+		return false
+	}
+	j.finishing = true
+	in.Done = func(r store.Result) {
+		j.finishing = false
+		if r.Outcome != store.OK {
+			for c := range j.Chunk {
+				j.Chunk[c].retryAt = int64(r.Now) + retryWait
+			}
+		}
+	}
+	s.Submit(in, now+writeFor)
+	return true
+}
+
+func (t *Table) write(j *Job, c int, now time.Duration, term store.Cond, s Submitter) {
+	ch := &j.Chunk[c]
+	done := append([]uint64(nil), ch.Done...)
+	var active []*Entry
+	urgent := false
+	for _, e := range ch.Entries {
+		switch e.Wish {
+		case Keep:
+			active = append(active, e)
+			e.sent = true
+			urgent = urgent || !e.Durable
+		case MarkDone:
+			done[e.Task%t.chunkLen/64] |= 1 << (e.Task % t.chunkLen % 64)
+		}
+	}
+	for task := range j.doneUnlog {
+		if task/t.chunkLen == c {
+			done[task%t.chunkLen/64] |= 1 << (task % t.chunkLen % 64)
+		}
+	}
+	in := &store.Intent{Priority: store.Progress, Conds: []store.Cond{term, {Key: runKey(j.ID, c), Stamp: ch.Stamp}}}
+	if urgent {
+		in.Priority = store.Place
+	}
+	if j.Final == Queued {
+		in.Conds = append(in.Conds, store.Cond{Key: finalKey(j.ID)})
+	}
+	if j.Final != Queued && len(active) == 0 {
+		if ch.Stamp == 0 {
+			ch.dirty = false
+			return
+		}
+		in.Writes = []store.Write{{Key: runKey(j.ID, c)}}
+	} else {
+		in.Writes = []store.Write{{Key: runKey(j.ID, c), Data: encodeRun(t.Names, ch.Try, done, active)}}
+	}
+	ch.writing, ch.dirty = true, false
+	in.Done = func(r store.Result) {
+		ch := &j.Chunk[c]
+		ch.writing = false
+		if r.Outcome != store.OK {
+			// The wish stands. If the write was carried out unseen, its
+			// retry conflicts until the replica shows it, then builds on it.
+			ch.dirty = true
+			ch.retryAt = int64(r.Now) + retryWait
+			t.dirty[j] = true
+		}
+	}
+	s.Submit(in, now+writeFor)
+}
+
+// Clean drops the records that finished jobs leave behind, once nothing of
+// theirs can be on a machine; at most limit jobs at a time.
+func (t *Table) Clean(now time.Duration, term store.Cond, s Submitter, limit int) {
+	for _, j := range t.Jobs {
+		if limit == 0 {
+			return
+		}
+		if j == nil || j.Final == Queued || j.cleaning || j.active > 0 {
+			continue
+		}
+		in := &store.Intent{Priority: store.Progress, Conds: []store.Cond{term}}
+		for c := range j.Chunk {
+			if j.Chunk[c].Stamp != 0 && len(in.Writes) < t.txnOps-1 {
+				in.Conds = append(in.Conds, store.Cond{Key: runKey(j.ID, c), Stamp: j.Chunk[c].Stamp})
+				in.Writes = append(in.Writes, store.Write{Key: runKey(j.ID, c)})
+			}
+		}
+		if j.Stamp != 0 {
+			in.Conds = append(in.Conds, store.Cond{Key: jobKey(j.ID), Stamp: j.Stamp})
+			in.Writes = append(in.Writes, store.Write{Key: jobKey(j.ID)})
+		}
+		if len(in.Writes) == 0 {
+			continue
+		}
+		j.cleaning = true
+		in.Done = func(store.Result) { j.cleaning = false }
+		s.Submit(in, now+writeFor)
+		limit--
+	}
+}
+
+// MarkReady logs that a held job may start: all its upstream jobs are done.
+func (t *Table) MarkReady(j *Job, now time.Duration, s Submitter) {
+	if j.marking {
+		return
+	}
+	j.marking = true
+	ready := *j
+	ready.Ready = true
+	s.Submit(&store.Intent{Priority: store.Place,
+		Conds:  []store.Cond{{Key: jobKey(j.ID), Stamp: j.Stamp}, {Key: finalKey(j.ID)}},
+		Writes: []store.Write{{Key: jobKey(j.ID), Data: Encode(t.Names, &ready)}},
+		Done: func(r store.Result) {
+			j.marking = false
+			if r.Outcome == store.OK {
+				t.Released(j)
+			}
+		}}, now+writeFor)
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,317 @@
+// Package place decides which task goes to which machine. A round has a
+// budget of time; what it could not look at, the next one starts with.
+package place
+
+import (
+	"math"
+	"sort"
+
+	"lugward/internal/config"
+	"lugward/internal/fleet"
+	"lugward/internal/pipeline"
+	"lugward/internal/step"
+)
+
+// Flavor is a machine type as the cloud describes it.
+type Flavor struct {
+	Index             int
+	Cores, Cards, RAM float64
+	Price, LowPrice   float64
+	Ready             float64
+	Fetch             float64 // GB per s
+	Zones             []int
+}
+
+// Flavors holds the machine types by index, nil where unknown.
+type Flavors []*Flavor
+
+// Get returns a type, or nil.
+func (f Flavors) Get(i int) *Flavor {
+	if i < 0 || i >= len(f) {
+		return nil
+	}
+	return f[i]
+}
+
+// Allowed tells whether a type can hold a task of the job at all.
+func Allowed(s *pipeline.Spec, f *Flavor) bool {
+	if f == nil || !s.Allows(f.Index) || s.Cores > f.Cores || s.Cards > f.Cards || s.RAM > f.RAM {
+		return false
+	}
+	if s.Zone < 0 {
+		return true
+	}
+	for _, z := range f.Zones {
+		if z == s.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Room is what is left of a machine.
+type Room struct {
+	Host              *fleet.Host // nil: not up yet
+	Flavor            *Flavor
+	Zone              int
+	Spot              bool
+	Cores, Cards, RAM float64
+	Busy              bool
+}
+
+const slack = 1e-6 // amounts are decimal numbers
+
+// Fits returns how many tasks of a job fit.
+func (r *Room) Fits(s *pipeline.Spec) int {
+	n := math.MaxInt32
+	for _, p := range [][2]float64{{r.Cores, s.Cores}, {r.Cards, s.Cards}, {r.RAM, s.RAM}} {
+		if p[1] > 0 {
+			n = min(n, int((p[0]+slack)/p[1]))
+		}
+	}
+	return max(n, 0)
+}
+
+// Take uses room for n tasks.
+func (r *Room) Take(s *pipeline.Spec, n int) {
+	k := float64(n)
+	r.Cores -= k * s.Cores
+	r.Cards -= k * s.Cards
+	r.RAM -= k * s.RAM
+	r.Busy = true
+}
+
+// Suits tells whether the machine is of a kind, type and zone that the job
+// allows.
+func (r *Room) Suits(s *pipeline.Spec) bool {
+	return r.Flavor != nil && s.Allows(r.Flavor.Index) && (s.Zone < 0 || s.Zone == r.Zone) && (s.Loaners || !r.Spot)
+}
+
+// Placer makes the rounds.
+type Placer struct {
+	Jobs    *pipeline.Table
+	Fleet   *fleet.Fleet
+	Flavors *Flavors
+	Teams   map[int]config.Team
+	Silent  step.Time // a machine not heard for this long gets nothing new
+
+	// Elapsed tells how much of the budget is used; nil: no limit.
+	Elapsed func() bool
+
+	resume int // job index at which the last round ran out of time
+}
+
+// Rooms lists what is left of the machines that are up.
+func (p *Placer) Rooms(now step.Time) []*Room {
+	var rooms []*Room
+	for _, h := range p.Fleet.Hosts {
+		if h == nil || !h.Up(now, p.Silent) {
+			continue
+		}
+		f := p.Flavors.Get(h.Flavor)
+		if f == nil {
+			continue
+		}
+		r := &Room{Host: h, Flavor: f, Zone: h.Zone, Spot: h.Spot, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
+		for e := range p.Jobs.OnHost(h.Index) {
+			r.Take(&e.Job.Spec, 1)
+		}
+		rooms = append(rooms, r)
+	}
+	return rooms
+}
+
+// Round places what it can and returns the jobs that still have tasks open,
+// with the rooms as they are left.
+func (p *Placer) Round(now step.Time) (blocked []*pipeline.Job, rooms []*Room) {
+	rooms = p.Rooms(now)
+	jobs := p.Jobs.Ready(int64(now))
+	p.order(jobs)
+	start := 0
+	for i, j := range jobs {
+		if j.Index == p.resume {
+			start = i
+		}
+	}
+	p.resume = -1
+	for i := range jobs {
+		j := jobs[(start+i)%len(jobs)]
+		if p.Elapsed != nil && p.Elapsed() {
+			p.resume = j.Index
+			break
+		}
+		if j.FirstSeen == 0 {
+			j.FirstSeen = int64(now)
+		}
+		p.place(j, rooms, now)
+	}
+	for _, j := range jobs {
+		if j.OpenCount() > 0 {
+			blocked = append(blocked, j)
+		}
+	}
+	return blocked, rooms
+}
+
+// order puts jobs of teams that are within their guarantee before others of
+// the same rank; within equal standing the order of readiness stays.
+func (p *Placer) order(jobs []*pipeline.Job) {
+	within := func(j *pipeline.Job) bool {
+		t, ok := p.Teams[j.Team]
+		if !ok || (t.Cores == 0 && t.Cards == 0) {
+			return false
+		}
+		u := p.Jobs.Team(j.Team)
+		return (t.Cores == 0 || u.Cores+j.Cores <= t.Cores+slack) && (t.Cards == 0 || u.Cards+j.Cards <= t.Cards+slack)
+	}
+	standing := make(map[*pipeline.Job]bool, len(jobs))
+	for _, j := range jobs {
+		standing[j] = within(j)
+	}
+	sort.SliceStable(jobs, func(a, b int) bool {
+		if jobs[a].Rank != jobs[b].Rank {
+			return jobs[a].Rank > jobs[b].Rank
+		}
+		return standing[jobs[a]] && !standing[jobs[b]]
+	})
+}
+
+// Quota returns how many more tasks of the job its team's limit allows.
+func (p *Placer) Quota(j *pipeline.Job) int {
+	t := p.Teams[j.Team]
+	u := p.Jobs.Team(j.Team)
+	n := math.MaxInt32
+	if t.CoresMax > 0 && j.Cores > 0 {
+		n = min(n, int((t.CoresMax-u.Cores+slack)/j.Cores))
+	}
+	if t.CardsMax > 0 && j.Cards > 0 {
+		n = min(n, int((t.CardsMax-u.Cards+slack)/j.Cards))
+	}
+	return max(n, 0)
+}
+
+// place puts as many tasks of a job as it may on machines.
+func (p *Placer) place(j *pipeline.Job, rooms []*Room, now step.Time) {
+	quota := p.Quota(j)
+	want := min(j.OpenCount(), quota)
+	if j.Shape == pipeline.Gang {
+		want = j.OpenCount()
+		// A gang runs whole or not at all. Entries left of the current
+		// attempt keep their places; of an older one there are none, or it
+		// would be breaking.
+		if quota < want {
+			return
+		}
+	}
+	if want == 0 {
+		return
+	}
+	var cands []*Room
+	for _, r := range rooms {
+		if r.Suits(&j.Spec) && !j.BadHosts[r.Host.Index] && r.Fits(&j.Spec) > 0 {
+			cands = append(cands, r)
+		}
+	}
+	if len(cands) == 0 {
+		return
+	}
+	sort.SliceStable(cands, func(a, b int) bool { return p.score(j, cands[a]) < p.score(j, cands[b]) })
+	inZone := map[int]int{}
+	j.Entries(func(e *pipeline.Entry) {
+		if h := p.Fleet.At(e.Host); h != nil {
+			inZone[h.Zone]++
+		}
+	})
+	if j.SamePlace {
+		cands = p.onePlace(j, cands, inZone, want)
+	}
+	type pick struct {
+		room *Room
+		n    int
+	}
+	var picks []pick
+	left := want
+	for _, r := range cands {
+		n := min(left, r.Fits(&j.Spec))
+		if j.Scatter {
+			n = min(n, (j.N+1)/2-inZone[r.Zone])
+		}
+		if n <= 0 {
+			continue
+		}
+		inZone[r.Zone] += n
+		picks = append(picks, pick{r, n})
+		if left -= n; left == 0 {
+			break
+		}
+	}
+	if j.Shape == pipeline.Gang && left > 0 {
+		return
+	}
+	var try uint64
+	if j.Shape == pipeline.Gang {
+		if try = j.MaxTry(); j.Active() == 0 {
+			try++
+		}
+	}
+	task := 0
+	for _, pk := range picks {
+		pk.room.Take(&j.Spec, pk.n)
+		for n := pk.n; n > 0; task++ {
+			if j.Open(task) {
+				p.Jobs.Place(j, task, pk.room.Host.Index, try, int64(now))
+				n--
+			}
+		}
+	}
+}
+
+// onePlace keeps the candidates of a single zone: the one that tasks of the
+// job may still be in, else the one that holds most of them.
+func (p *Placer) onePlace(j *pipeline.Job, cands []*Room, inZone map[int]int, want int) []*Room {
+	zone, best := -1, 0
+	if len(inZone) > 1 {
+		return nil // an entry on a machine of unknown zone, or worse: wait
+	}
+	for z := range inZone {
+		zone = z
+	}
+	if zone < 0 {
+		if len(inZone) > 0 {
+			return nil
+		}
+		fits := map[int]int{}
+		for _, r := range cands {
+			fits[r.Zone] += r.Fits(&j.Spec)
+		}
+		for _, r := range cands { // in order of score
+			if n := min(fits[r.Zone], want); n > best {
+				zone, best = r.Zone, n
+			}
+		}
+	}
+	var kept []*Room
+	for _, r := range cands {
+		if r.Zone == zone {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+// score: less is better.
+func (p *Placer) score(j *pipeline.Job, r *Room) float64 {
+	s := 0.0
+	if j.Cards == 0 && r.Flavor.Cards > 0 {
+		s += 100 // cards would lie idle
+	}
+	if !r.Host.Images[j.Bundle] {
+		s += 1
+	}
+	if !r.Busy {
+		s += 2
+	}
+	// Best fit: the least left over.
+	s += (r.Cores-j.Cores)/r.Flavor.Cores + r.Cards/math.Max(r.Flavor.Cards, 1)
+	return s
+}
--- /dev/null
+++ b/internal/rental/rental.go
@@ -0,0 +1,536 @@
+// Package rental deals with the cloud: it learns machine types, rents for
+// work that finds no room, and returns what nothing can use.
+package rental
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"lugward/internal/fleet"
+	"lugward/internal/pipeline"
+	"lugward/internal/place"
+	"lugward/internal/step"
+	"lugward/internal/store"
+)
+
+// Keys of this slice.
+const (
+	TypesKey   = "c/types" // the machine types as last seen
+	Kind       = "c"
+	RetireKind = "h" // h/<host>: retired, to be returned
+)
+
+// Config are the settings of this slice.
+type Config struct {
+	Addr     string
+	RPS      float64
+	ListLag  time.Duration
+	IdleKeep time.Duration // an idle machine is kept this long
+	Settle   time.Duration // after a term begins nothing is returned for this long
+}
+
+const (
+	callWait     = 8 * time.Second
+	typesEvery   = 60 * time.Second
+	listEvery    = 10 * time.Second
+	refusedPause = 15 * time.Second
+	troublePause = 2 * time.Second
+	maxNumber    = 50
+	maxReturn    = 100
+	listLimit    = 500
+	// A machine that is up neither reports nor boots for this long is lost.
+	silentLost = 60 * time.Second
+	// Boots take several times the nominal time now and then; past this many
+	// times (and at least bootLeast) a machine is given up.
+	bootTimes = 4.0
+	bootLeast = 40 * time.Second
+)
+
+type offer struct {
+	flavor, zone int
+	spot         bool
+}
+
+// booting is a rented machine that has not reported yet.
+type booting struct {
+	offer
+	since step.Time
+}
+
+// Rental is the slice.
+type Rental struct {
+	cfg     Config
+	names   *pipeline.Names
+	jobs    *pipeline.Table
+	fleet   *fleet.Fleet
+	store   *store.Client
+	log     *slog.Logger
+	Flavors place.Flavors
+	rawType []byte // as stored
+
+	calls    map[uint64]func(now step.Time, status int, body []byte, out *step.Out)
+	tokens   float64
+	tokensAt step.Time
+	pauseTo  step.Time
+
+	typesAt   step.Time
+	listAt    step.Time
+	listing   bool
+	serial    int
+	hiring    map[offer]int // machines asked for
+	refused   map[offer]step.Time
+	boots     map[int]*booting
+	retired   map[string]uint64 // by name: stamp of the logged retirement
+	returning map[string]bool
+	logging   map[string]bool
+	returned  map[string]step.Time // machines the cloud has taken back from us
+	since     step.Time
+	again     []retry // hires to repeat
+}
+
+// New returns the slice.
+func New(cfg Config, n *pipeline.Names, t *pipeline.Table, f *fleet.Fleet, s *store.Client, log *slog.Logger) *Rental {
+	r := &Rental{cfg: cfg, names: n, jobs: t, fleet: f, store: s, log: log, calls: map[uint64]func(step.Time, int, []byte, *step.Out){},
+		retired: map[string]uint64{}}
+	r.Forget()
+	return r
+}
+
+// Forget drops what only a leader knows.
+func (r *Rental) Forget() {
+	r.hiring, r.refused, r.boots = map[offer]int{}, map[offer]step.Time{}, map[int]*booting{}
+	r.returning, r.logging, r.returned = map[string]bool{}, map[string]bool{}, map[string]step.Time{}
+	r.typesAt, r.listAt, r.listing = -typesEvery, -listEvery, false
+	clear(r.calls)
+	r.again = nil
+}
+
+// Begin starts a term.
+func (r *Rental) Begin(now step.Time) { r.Forget(); r.since, r.serial = now, 0 }
+
+// Listen takes a change of the replica.
+func (r *Rental) Listen(kind, rest string, data []byte, stamp uint64) {
+	if kind == RetireKind {
+		if data == nil {
+			delete(r.retired, rest)
+		} else {
+			r.retired[rest] = stamp
+		}
+		return
+	}
+	if data != nil {
+		r.takeTypes(data)
+	}
+}
+
+type wireType struct {
+	Name     string   `json:"name"`
+	Cores    float64  `json:"cores"`
+	Cards    float64  `json:"cards"`
+	RAM      float64  `json:"ram_gb"`
+	Fetch    float64  `json:"fetch_gb_per_s"`
+	Price    float64  `json:"price"`
+	LowPrice float64  `json:"low_price"`
+	Ready    float64  `json:"ready_s"`
+	Yards    []string `json:"yards"`
+}
+
+type wireTypes struct {
+	Flavors []wireType `json:"flavors"`
+}
+
+func (r *Rental) takeTypes(data []byte) bool {
+	var v wireTypes
+	if json.Unmarshal(data, &v) != nil || len(v.Flavors) == 0 {
+		return false
+	}
+	for _, t := range v.Flavors {
+		if t.Name == "" || !(t.Cores >= 0) || !(t.Price >= 0) {
+			return false
+		}
+	}
+	for _, t := range v.Flavors {
+		f := &place.Flavor{Index: r.names.Flavors.Index(t.Name), Cores: t.Cores, Cards: t.Cards, RAM: t.RAM, Price: t.Price,
+			LowPrice: t.LowPrice, Ready: t.Ready, Fetch: t.Fetch}
+		for _, y := range t.Yards {
+			f.Zones = append(f.Zones, r.names.Zones.Index(y))
+		}
+		for len(r.Flavors) <= f.Index {
+			r.Flavors = append(r.Flavors, nil)
+		}
+		r.Flavors[f.Index] = f
+	}
+	r.jobs.Changed = true
+	return true
+}
+
+func (r *Rental) allowed(now step.Time) bool {
+	if now < r.pauseTo {
+		return false
+	}
+	r.tokens = math.Min(2*r.cfg.RPS, r.tokens+r.cfg.RPS*0.9*(now-r.tokensAt).Seconds())
+	r.tokensAt = now
+	return r.tokens >= 1
+}
+
+func (r *Rental) call(method, path string, body []byte, out *step.Out, f func(now step.Time, status int, body []byte, out *step.Out)) {
+	r.tokens--
+	r.calls[out.Call(r.cfg.Addr, method, path, body, callWait)] = func(now step.Time, status int, body []byte, out *step.Out) {
+		if status == 429 || (status == 503 && method == "GET") {
+			r.pauseTo = now + troublePause
+		}
+		f(now, status, body, out)
+	}
+}
+
+// CallDone takes the outcome of a call; it tells whether it was ours.
+func (r *Rental) CallDone(now step.Time, d step.CallDone, out *step.Out) bool {
+	f, ok := r.calls[d.ID]
+	if !ok {
+		return false
+	}
+	delete(r.calls, d.ID)
+	f(now, d.Status, d.Body, out)
+	return true
+}
+
+// Types refreshes the machine types; any node may, until they are known.
+func (r *Rental) Types(now step.Time, term *store.Cond, out *step.Out) {
+	if now-r.typesAt < typesEvery && (len(r.Flavors) > 0 || now-r.typesAt < troublePause) || !r.allowed(now) {
+		return
+	}
+	r.typesAt = now
+	r.call("GET", "/machine_types", nil, out, func(now step.Time, status int, body []byte, out *step.Out) {
+		if status != 200 || !r.takeTypes(body) {
+			r.typesAt = now - typesEvery + troublePause
+			return
+		}
+		if term == nil || len(r.rawType) > 0 {
+			return
+		}
+		var v wireTypes
+		_ = json.Unmarshal(body, &v)
+		raw, err := json.Marshal(v)
+		if err != nil {
+			return
+		}
+		r.store.Submit(&store.Intent{Priority: store.Accept, Conds: []store.Cond{*term},
+			Writes: []store.Write{{Key: TypesKey, Data: raw}},
+			Done: func(res store.Result) {
+				if res.Outcome == store.OK {
+					r.rawType = raw
+				}
+			}}, now+time.Minute)
+	})
+}
+
+// Tick does the leader's part: lists, returns, gives up machines.
+func (r *Rental) Tick(now step.Time, term store.Cond, silent time.Duration, out *step.Out) {
+	r.Types(now, &term, out)
+	r.sendReturns(now, term, out)
+	r.sendAgain(now, out)
+	if !r.listing && now-r.listAt >= listEvery && r.allowed(now) {
+		r.list(now, "", out)
+	}
+	for i, b := range r.boots {
+		h := r.fleet.At(i)
+		if h == nil || h.Heard > 0 {
+			delete(r.boots, i)
+			r.jobs.Changed = true
+			continue
+		}
+		f := r.Flavors.Get(b.flavor)
+		if f != nil && now-b.since > max(bootLeast, time.Duration(bootTimes*f.Ready*float64(time.Second))) {
+			r.log.Info("machine never came up", "host", h.Name)
+			delete(r.boots, i)
+			r.Retire(h, now, term)
+		}
+	}
+	if now-r.since < r.cfg.Settle {
+		return
+	}
+	for _, h := range r.fleet.Hosts {
+		if h == nil || !h.Known || h.Retiring || len(r.jobs.OnHost(h.Index)) > 0 {
+			continue
+		}
+		lost := h.Heard > 0 && now-h.Heard > silentLost
+		if lost || (h.Heard > 0 && h.Stray == 0 && now-h.IdleFrom > r.cfg.IdleKeep) {
+			r.Retire(h, now, term)
+		}
+	}
+}
+
+// Retire logs that a machine gets nothing more; once that is stored it is
+// returned. A successor knows by the log not to use it.
+func (r *Rental) Retire(h *fleet.Host, now step.Time, term store.Cond) {
+	h.Retiring = true
+	if r.logging[h.Name] || r.retired[h.Name] != 0 {
+		return
+	}
+	r.logging[h.Name] = true
+	name := h.Name
+	r.store.Submit(&store.Intent{Priority: store.Progress, Conds: []store.Cond{term},
+		Writes: []store.Write{{Key: RetireKind + "/" + name, Data: []byte("1")}},
+		Done:   func(store.Result) { delete(r.logging, name) }}, now+time.Minute)
+}
+
+func (r *Rental) sendReturns(now step.Time, term store.Cond, out *step.Out) {
+	var hosts []string
+	for name := range r.retired {
+		if r.returning[name] {
+			continue
+		}
+		r.fleet.Host(name, now).Retiring = true
+		if len(hosts) < maxReturn {
+			hosts = append(hosts, name)
+		}
+	}
+	sort.Strings(hosts)
+	for _, h := range r.fleet.Hosts {
+		// A retirement whose write was refused is logged again.
+		if h != nil && h.Retiring && r.retired[h.Name] == 0 && !r.returning[h.Name] {
+			r.Retire(h, now, term)
+		}
+	}
+	if len(hosts) == 0 || !r.allowed(now) {
+		return
+	}
+	for _, n := range hosts {
+		r.returning[n] = true
+	}
+	body, _ := json.Marshal(map[string]any{"hosts": hosts})
+	r.call("POST", "/rentals/return", body, out, func(now step.Time, status int, _ []byte, _ *step.Out) {
+		for _, n := range hosts {
+			delete(r.returning, n)
+		}
+		if status != 200 {
+			r.pauseTo = max(r.pauseTo, now+troublePause)
+			return
+		}
+		for _, n := range hosts {
+			h := r.fleet.Host(n, now)
+			r.fleet.Gone(h, now) // the answer proves that nothing runs there
+			delete(r.boots, h.Index)
+			r.fleet.Hosts[h.Index] = nil
+			r.returned[n] = now
+			r.returning[n] = true // not again, until the log entry is dropped
+			r.store.Submit(&store.Intent{Priority: store.Progress, Conds: []store.Cond{term},
+				Writes: []store.Write{{Key: RetireKind + "/" + n}},
+				Done:   func(store.Result) { delete(r.returning, n) }}, now+time.Minute)
+		}
+	})
+}
+
+type wireHost struct {
+	Name  string  `json:"name_id"`
+	Addr  string  `json:"addr"`
+	Type  string  `json:"flavor"`
+	Yard  string  `json:"yard"`
+	Spot  bool    `json:"loaners"`
+	Phase string  `json:"phase"`
+	Held  float64 `json:"held_s"`
+}
+
+// list reads the machine list: it shows machines that nobody expects.
+func (r *Rental) list(now step.Time, from string, out *step.Out) {
+	r.listing, r.listAt = true, now
+	path := fmt.Sprintf("/rentals?limit=%d", listLimit)
+	if from != "" {
+		path += "&from=" + from
+	}
+	r.call("GET", path, nil, out, func(now step.Time, status int, body []byte, out *step.Out) {
+		r.listing = false
+		var v struct {
+			Hosts []wireHost `json:"hosts"`
+			More  bool       `json:"has_next"`
+		}
+		if status != 200 || json.Unmarshal(body, &v) != nil {
+			return
+		}
+		for _, w := range v.Hosts {
+			r.listed(w, now)
+		}
+		if v.More && len(v.Hosts) > 0 {
+			r.list(now, v.Hosts[len(v.Hosts)-1].Name, out)
+		}
+	})
+}
+
+func (r *Rental) listed(w wireHost, now step.Time) {
+	if w.Name == "" || r.retired[w.Name] != 0 || r.returning[w.Name] {
+		return
+	}
+	if at, ok := r.returned[w.Name]; ok && now-at < 2*r.cfg.ListLag+listEvery {
+		return // gone; the list lags
+	}
+	h := r.fleet.Host(w.Name, now)
+	if !h.Known {
+		h.Flavor, h.Zone, h.Spot, h.Known = r.names.Flavors.Index(w.Type), r.names.Zones.Index(w.Yard), w.Spot, true
+	}
+	switch {
+	case w.Phase == "failed":
+		h.Retiring = true // logged and returned by the next tick
+	case w.Phase == "booting" && h.Heard == 0 && r.boots[h.Index] == nil:
+		r.boots[h.Index] = &booting{offer{h.Flavor, h.Zone, h.Spot}, now - time.Duration(w.Held*float64(time.Second))}
+	case w.Phase == "running" && h.Heard == 0 && r.boots[h.Index] == nil:
+		// Up by the list, silent to us: it counts as booting until it
+		// reports or is given up.
+		r.boots[h.Index] = &booting{offer{h.Flavor, h.Zone, h.Spot}, now}
+	}
+}
+
+// Plan rents for the tasks that found no room: first the machines that are
+// still booting are filled in thought, then what is left is bought where a
+// task costs least.
+func (r *Rental) Plan(now step.Time, blocked []*pipeline.Job, rooms []*place.Room, quota func(*pipeline.Job) int, term uint64, out *step.Out) {
+	for i, b := range r.boots {
+		if h := r.fleet.At(i); h != nil && !h.Retiring && h.Heard == 0 {
+			rooms = append(rooms, r.room(b.offer))
+		}
+	}
+	for o, n := range r.hiring {
+		for ; n > 0; n-- {
+			rooms = append(rooms, r.room(o))
+		}
+	}
+	need := map[offer]int{}
+	for _, j := range blocked {
+		left := min(j.OpenCount(), quota(j))
+		for _, room := range rooms {
+			if left == 0 {
+				break
+			}
+			if room == nil || !room.Suits(&j.Spec) || (room.Host != nil && j.BadHosts[room.Host.Index]) {
+				continue
+			}
+			if n := min(left, room.Fits(&j.Spec)); n > 0 {
+				room.Take(&j.Spec, n)
+				left -= n
+			}
+		}
+		for left > 0 {
+			o, per, ok := r.cheapest(j, left, now)
+			if !ok {
+				break
+			}
+			need[o]++
+			n := min(per, left)
+			room := r.room(o)
+			room.Take(&j.Spec, n)
+			rooms = append(rooms, room)
+			left -= n
+		}
+	}
+	for o, n := range need {
+		if !r.allowed(now) {
+			return
+		}
+		r.hire(now, o, min(n, maxNumber), term, out)
+	}
+}
+
+func (r *Rental) room(o offer) *place.Room {
+	f := r.Flavors.Get(o.flavor)
+	if f == nil {
+		return nil
+	}
+	return &place.Room{Flavor: f, Zone: o.zone, Spot: o.spot, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
+}
+
+// cheapest finds the offer at which the tasks cost least per hour.
+func (r *Rental) cheapest(j *pipeline.Job, left int, now step.Time) (best offer, per int, ok bool) {
+	least := math.Inf(1)
+	for _, f := range r.Flavors {
+		if !place.Allowed(&j.Spec, f) {
+			continue
+		}
+		for _, z := range f.Zones {
+			for _, spot := range []bool{true, false} {
+				o := offer{f.Index, z, spot}
+				room := r.room(o)
+				if at, no := r.refused[o]; (no && now < at) || !room.Suits(&j.Spec) {
+					continue
+				}
+				price := f.Price
+				if spot {
+					price = f.LowPrice
+				}
+				n := room.Fits(&j.Spec)
+				if cost := price / float64(min(n, left)); cost < least {
+					least, best, per, ok = cost, o, n, true
+				}
+			}
+		}
+	}
+	return best, per, ok
+}
+
+// hire asks for machines. The name holds the term, so that no other leader
+// ever uses it again.
+func (r *Rental) hire(now step.Time, o offer, n int, term uint64, out *step.Out) {
+	r.serial++
+	r.hiring[o] += n
+	r.send(fmt.Sprintf("t%d-%d", term, r.serial), o, n, 0, out)
+}
+
+const hireTries = 5
+
+func (r *Rental) send(name string, o offer, n, tries int, out *step.Out) {
+	body, _ := json.Marshal(map[string]any{"hire": name, "flavor": r.names.Flavors.Name(o.flavor), "yard": r.names.Zones.Name(o.zone),
+		"loaners": o.spot, "number": n})
+	r.call("POST", "/rentals", body, out, func(now step.Time, status int, body []byte, out *step.Out) {
+		var v struct {
+			Hosts []string `json:"hosts"`
+			Error string   `json:"error"`
+		}
+		err := json.Unmarshal(body, &v)
+		switch {
+		case status == 200 && err == nil:
+			r.log.Info("rented", "hire", name, "flavor", r.names.Flavors.Name(o.flavor), "spot", o.spot, "asked", n, "got", len(v.Hosts))
+			for _, name := range v.Hosts {
+				h := r.fleet.Host(name, now)
+				if h.Heard == 0 {
+					h.Flavor, h.Zone, h.Spot, h.Known = o.flavor, o.zone, o.spot, true
+					r.boots[h.Index] = &booting{o, now}
+				}
+			}
+			if len(v.Hosts) < n {
+				r.refused[o] = now + refusedPause
+			}
+		case status == 503 && v.Error == "no capacity" || status == 400:
+			r.refused[o] = now + refusedPause
+		case tries < hireTries:
+			// Lost or in trouble: the same name again, so that it is rented
+			// once at most.
+			if status != 0 {
+				r.pauseTo = now + troublePause
+			}
+			r.again = append(r.again, retry{now + troublePause, func(out *step.Out) { r.send(name, o, n, tries+1, out) }})
+			return
+		}
+		if r.hiring[o] -= n; r.hiring[o] <= 0 {
+			delete(r.hiring, o)
+		}
+	})
+}
+
+type retry struct {
+	at step.Time
+	do func(out *step.Out)
+}
+
+func (r *Rental) sendAgain(now step.Time, out *step.Out) {
+	list := r.again
+	r.again = nil
+	for _, a := range list {
+		if now >= a.at && r.allowed(now) {
+			a.do(out)
+		} else {
+			r.again = append(r.again, a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,621 @@
+// Package store is the client of the state service: a replica of all keys
+// kept up by following changes, transactions batched under the shared rate,
+// leases, and the read barrier that answers to users rest on.
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"lugward/internal/step"
+)
+
+// Priority orders what waits for the request and write rates.
+type Priority uint8
+
+// From most to least urgent.
+const (
+	Term Priority = iota
+	Cancel
+	Accept
+	Place
+	Progress
+	priorities
+)
+
+// Write is one change of a transaction.
+type Write struct {
+	Key    string
+	Data   []byte // JSON; nil drops the key
+	Tether uint64
+}
+
+// Cond requires that a key has a stamp (0: does not exist).
+type Cond struct {
+	Key   string
+	Stamp uint64
+}
+
+// Outcome of an intent.
+type Outcome uint8
+
+const (
+	// OK: executed.
+	OK Outcome = iota
+	// Conflict: a condition of this intent did not hold; not executed.
+	Conflict
+	// Refused: not executed.
+	Refused
+	// Unknown: no response; it may have been executed or may yet be. All our
+	// writes carry the stamps they build on, so a late one either fails or
+	// arrives as an ordinary change.
+	Unknown
+)
+
+// Result is how an intent ended.
+type Result struct {
+	Outcome Outcome
+	Epoch   uint64 // of the transaction when OK
+	Now     step.Time
+	Out     *step.Out
+}
+
+// Intent is a set of writes that happen together or not at all. Several
+// intents may share one transaction.
+type Intent struct {
+	Priority Priority
+	Conds    []Cond
+	Writes   []Write
+	Done     func(r Result)
+
+	expires step.Time
+	tries   int
+}
+
+// Limits are the service's published limits and our part of the rates.
+type Limits struct {
+	TxnOps   int
+	Value    int
+	RPS      float64 // this node's part
+	WriteRPS float64
+}
+
+// ListenFunc hears every change of the replica. data is nil when the key is gone.
+type ListenFunc func(key string, data []byte, stamp uint64)
+
+const (
+	maxTxn       = 60 << 10
+	watchWait    = 10 * time.Second
+	callTimeout  = 1500 * time.Millisecond
+	watchSlack   = 4 * time.Second // beyond watchWait before a watch counts as lost
+	pageLimit    = 500
+	maxInFlight  = 2
+	refusedPause = 100 * time.Millisecond // after 429 or 503
+	reloadPause  = 300 * time.Millisecond
+)
+
+// Client is the state service as one controller sees it.
+type Client struct {
+	addr   string
+	limits Limits
+	listen ListenFunc
+
+	stamps map[string]uint64
+	tombs  map[string]uint64 // dropped keys until the replica has passed the drop
+	epoch  uint64
+	synced bool
+
+	loading   bool
+	loadEpoch uint64
+	loadSeen  map[string]bool
+	loadNext  step.Time
+
+	requests, writes bucket
+
+	queue    [priorities][]*Intent
+	inflight int
+	busyKeys map[string]bool
+	pauseTo  step.Time
+
+	calls      map[uint64]func(now step.Time, status int, body []byte, out *step.Out)
+	watchOpen  bool
+	watchNext  step.Time
+	WatchEvery time.Duration // least time between two watches
+
+	barriers     []func(now step.Time, ok bool, out *step.Out)
+	barrierOpen  bool
+	barrierNext  step.Time
+	BarrierEvery time.Duration
+
+	contact step.Time // sending time of the last request that was executed
+	outage  bool      // the last answer was 503 or missing
+}
+
+// New returns a client for the service at addr.
+func New(addr string, limits Limits, listen ListenFunc) *Client {
+	return &Client{addr: addr, limits: limits, listen: listen, stamps: map[string]uint64{}, tombs: map[string]uint64{},
+		busyKeys: map[string]bool{}, calls: map[uint64]func(step.Time, int, []byte, *step.Out){},
+		requests: newBucket(limits.RPS), writes: newBucket(limits.WriteRPS), contact: -time.Hour,
+		WatchEvery: 150 * time.Millisecond, BarrierEvery: 150 * time.Millisecond}
+}
+
+// Synced tells whether the replica was complete at some time.
+func (c *Client) Synced() bool { return c.synced }
+
+// Contact is when the last request that the service executed was sent.
+func (c *Client) Contact() step.Time { return c.contact }
+
+// Outage tells whether the service failed to answer lately.
+func (c *Client) Outage() bool { return c.outage }
+
+// Stamp returns the stamp of a key in the replica, 0 if absent.
+func (c *Client) Stamp(key string) uint64 { return c.stamps[key] }
+
+// SetShare changes this node's part of the rates.
+func (c *Client) SetShare(rps, writeRPS float64) {
+	c.requests.rate, c.writes.rate = rps, writeRPS
+}
+
+// Submit queues an intent. It is given up as Refused at the time expires.
+func (c *Client) Submit(in *Intent, expires step.Time) {
+	in.expires = expires
+	c.queue[in.Priority] = append(c.queue[in.Priority], in)
+}
+
+// Barrier calls f once the replica holds everything that was committed before
+// this call. ok is false when the service does not answer.
+func (c *Client) Barrier(f func(now step.Time, ok bool, out *step.Out)) {
+	c.barriers = append(c.barriers, f)
+}
+
+// Lease sends a request for a new lease, Extend and Drop work on one.
+func (c *Client) Lease(life time.Duration, now step.Time, out *step.Out, done func(now step.Time, tether uint64, out *step.Out)) {
+	body := fmt.Appendf(nil, `{"life_ms":%d}`, life.Milliseconds())
+	c.call("POST", "/leases", body, callTimeout, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
+		var v struct {
+			Tether uint64 `json:"tether"`
+		}
+		if status != 200 || json.Unmarshal(body, &v) != nil {
+			v.Tether = 0
+		}
+		done(now, v.Tether, out)
+	})
+}
+
+// Extend renews a lease; done gets the status.
+func (c *Client) Extend(tether uint64, timeout time.Duration, now step.Time, out *step.Out, done func(now step.Time, status int, out *step.Out)) {
+	c.call("POST", "/leases/"+strconv.FormatUint(tether, 10)+"/extend", nil, timeout, now, out,
+		func(now step.Time, status int, _ []byte, out *step.Out) { done(now, status, out) })
+}
+
+// Drop ends a lease at once.
+func (c *Client) Drop(tether uint64, now step.Time, out *step.Out) {
+	c.call("DELETE", "/leases/"+strconv.FormatUint(tether, 10), nil, callTimeout, now, out,
+		func(step.Time, int, []byte, *step.Out) {})
+}
+
+func (c *Client) call(method, path string, body []byte, timeout time.Duration, now step.Time, out *step.Out, f func(step.Time, int, []byte, *step.Out)) {
+	c.requests.take(now, 1)
+	sent := now
+	c.calls[out.Call(c.addr, method, path, body, timeout)] = func(now step.Time, status int, body []byte, out *step.Out) {
+		if status != 0 && status != 503 && status != 429 {
+			c.contact = max(c.contact, sent)
+			c.outage = false
+		} else if status != 429 {
+			c.outage = true
+		}
+		f(now, status, body, out)
+	}
+}
+
+// CallDone takes the outcome of a call; it tells whether it was ours.
+func (c *Client) CallDone(now step.Time, d step.CallDone, out *step.Out) bool {
+	f, ok := c.calls[d.ID]
+	if !ok {
+		return false
+	}
+	delete(c.calls, d.ID)
+	f(now, d.Status, d.Body, out)
+	return true
+}
+
+// Tick sends what is due.
+func (c *Client) Tick(now step.Time, out *step.Out) {
+	c.expire(now, out)
+	if !c.synced {
+		c.failBarriers(now, out)
+		if !c.loading && now >= c.loadNext {
+			c.load(now, out)
+		}
+		return
+	}
+	c.flush(now, out)
+	c.sendBarrier(now, out)
+	if !c.watchOpen && now >= c.watchNext && c.requests.has(now, 1) {
+		c.watch(now, out)
+	}
+}
+
+func (c *Client) expire(now step.Time, out *step.Out) {
+	for p := range c.queue {
+		list := c.queue[p]
+		kept := list[:0]
+		var gone []*Intent
+		for _, in := range list {
+			if now >= in.expires {
+				gone = append(gone, in)
+			} else {
+				kept = append(kept, in)
+			}
+		}
+		c.queue[p] = kept
+		for _, in := range gone {
+			in.Done(Result{Refused, 0, now, out})
+		}
+	}
+}
+
+// load reads every key, page by page. The pages are not one moment's, but
+// following from the first page's epoch replays whatever changed meanwhile.
+func (c *Client) load(now step.Time, out *step.Out) {
+	c.loading, c.loadEpoch, c.loadSeen = true, 0, map[string]bool{}
+	c.page("", now, out)
+}
+
+type item struct {
+	Key   string          `json:"key"`
+	Data  json.RawMessage `json:"data"`
+	Stamp uint64          `json:"stamp"`
+}
+
+func (c *Client) page(from string, now step.Time, out *step.Out) {
+	path := "/keys?starts=&limit=" + strconv.Itoa(pageLimit)
+	if from != "" {
+		path += "&from=" + url.QueryEscape(from)
+	}
+	c.call("GET", path, nil, 4*time.Second, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
+		var v struct {
+			Items   []item `json:"items"`
+			HasNext bool   `json:"has_next"`
+			Epoch   uint64 `json:"epoch"`
+		}
+		if status != 200 || json.Unmarshal(body, &v) != nil || (v.HasNext && len(v.Items) == 0) {
+			c.loading, c.loadNext = false, now+reloadPause
+			return
+		}
+		if from == "" {
+			c.loadEpoch = v.Epoch
+		}
+		for _, it := range v.Items {
+			c.loadSeen[it.Key] = true
+			c.apply(it.Key, it.Data, it.Stamp)
+		}
+		if v.HasNext {
+			c.page(v.Items[len(v.Items)-1].Key, now, out)
+			return
+		}
+		// Keys that we still hold from before a 410 but that are gone now.
+		for key, stamp := range c.stamps {
+			if !c.loadSeen[key] && stamp <= c.loadEpoch {
+				c.apply(key, nil, c.loadEpoch)
+			}
+		}
+		c.loadSeen = nil
+		c.loading, c.synced, c.epoch = false, true, c.loadEpoch
+		c.Tick(now, out)
+	})
+}
+
+// apply takes one change unless the replica holds a newer one.
+func (c *Client) apply(key string, data []byte, stamp uint64) {
+	if stamp <= c.stamps[key] || stamp <= c.tombs[key] {
+		return
+	}
+	if data == nil {
+		c.tombs[key] = stamp
+		if _, ok := c.stamps[key]; !ok {
+			return
+		}
+		delete(c.stamps, key)
+	} else {
+		delete(c.tombs, key)
+		c.stamps[key] = stamp
+	}
+	c.listen(key, data, stamp)
+}
+
+type change struct {
+	Write string          `json:"write"`
+	Drop  string          `json:"drop"`
+	Data  json.RawMessage `json:"data"`
+	Stamp uint64          `json:"stamp"`
+}
+
+// follow handles a /follow answer; it tells whether the replica is current as
+// of that answer.
+func (c *Client) follow(now step.Time, status int, body []byte) bool {
+	if status == 410 {
+		// Too far behind: read everything again.
+		c.synced, c.loadNext = false, now
+		return false
+	}
+	var v struct {
+		Epoch uint64   `json:"epoch"`
+		Log   []change `json:"log"`
+	}
+	if status != 200 || json.Unmarshal(body, &v) != nil {
+		return false
+	}
+	for _, ch := range v.Log {
+		if ch.Drop != "" {
+			c.apply(ch.Drop, nil, ch.Stamp)
+		} else if ch.Write != "" {
+			c.apply(ch.Write, ch.Data, ch.Stamp)
+		}
+	}
+	if v.Epoch > c.epoch {
+		c.epoch = v.Epoch
+		for k, s := range c.tombs {
+			if s <= c.epoch {
+				delete(c.tombs, k)
+			}
+		}
+	}
+	return true
+}
+
+func (c *Client) watch(now step.Time, out *step.Out) {
+	c.watchOpen = true
+	c.watchNext = now + c.WatchEvery
+	path := fmt.Sprintf("/follow?starts=&from=%d&wait_ms=%d", c.epoch, watchWait.Milliseconds())
+	c.call("GET", path, nil, watchWait+watchSlack, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
+		c.watchOpen = false
+		if !c.follow(now, status, body) {
+			c.watchNext = max(c.watchNext, now+refusedPause)
+		}
+		c.Tick(now, out)
+	})
+}
+
+func (c *Client) failBarriers(now step.Time, out *step.Out) {
+	list := c.barriers
+	c.barriers = nil
+	for _, f := range list {
+		f(now, false, out)
+	}
+}
+
+func (c *Client) sendBarrier(now step.Time, out *step.Out) {
+	if c.barrierOpen || len(c.barriers) == 0 || now < c.barrierNext || !c.requests.has(now, 1) {
+		return
+	}
+	list := c.barriers
+	c.barriers, c.barrierOpen, c.barrierNext = nil, true, now+c.BarrierEvery
+	path := fmt.Sprintf("/follow?starts=&from=%d&wait_ms=0", c.epoch)
+	c.call("GET", path, nil, callTimeout, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
+		c.barrierOpen = false
+		ok := c.follow(now, status, body)
+		if !ok {
+			c.barrierNext = now + refusedPause
+		}
+		for _, f := range list {
+			f(now, ok, out)
+		}
+		c.Tick(now, out)
+	})
+}
+
+// flush packs waiting intents into transactions, most urgent first.
+func (c *Client) flush(now step.Time, out *step.Out) {
+	for c.inflight < maxInFlight && now >= c.pauseTo {
+		batch, ops := c.pick(now)
+		if len(batch) == 0 {
+			return
+		}
+		c.send(batch, ops, now, out)
+	}
+}
+
+func (c *Client) pick(now step.Time) (batch []*Intent, ops int) {
+	if !c.requests.has(now, 1) {
+		return nil, 0
+	}
+	room := min(c.limits.TxnOps, c.writes.whole(now))
+	size, conds := 0, 0
+	taken := map[string]bool{}
+	for p := range c.queue {
+		list := c.queue[p]
+		kept := list[:0]
+		full := false
+		for _, in := range list {
+			bytes := 0
+			clash := false
+			for _, w := range in.Writes {
+				bytes += len(w.Key) + len(w.Data) + 60
+				clash = clash || c.busyKeys[w.Key] || taken[w.Key]
+			}
+			bytes += 120 * len(in.Conds)
+			// What failed in company goes alone the next time.
+			if clash || (in.tries > 1 && len(batch) > 0) || full || ops+len(in.Writes) > room || size+bytes > maxTxn || conds+len(in.Conds) > 4*c.limits.TxnOps {
+				// Order within a priority is kept: a large intent is not
+				// starved by small ones behind it.
+				full = full || !clash
+				kept = append(kept, in)
+				continue
+			}
+			for _, w := range in.Writes {
+				taken[w.Key] = true
+			}
+			ops += len(in.Writes)
+			conds += len(in.Conds)
+			size += bytes
+			batch = append(batch, in)
+			full = full || in.tries > 1
+		}
+		c.queue[p] = kept
+		if full && len(batch) > 0 {
+			break
+		}
+	}
+	return batch, ops
+}
+
+type wireCond struct {
+	Key   string `json:"key"`
+	Stamp uint64 `json:"stamp"`
+}
+
+type wireWrite struct {
+	Write  string          `json:"write,omitempty"`
+	Drop   string          `json:"drop,omitempty"`
+	Data   json.RawMessage `json:"data,omitempty"`
+	Tether uint64          `json:"tether,omitempty"`
+}
+
+func (c *Client) send(batch []*Intent, ops int, now step.Time, out *step.Out) {
+	var txn struct {
+		If   []wireCond  `json:"if"`
+		Then []wireWrite `json:"then"`
+	}
+	seen := map[Cond]bool{}
+	for _, in := range batch {
+		in.tries++
+		for _, cond := range in.Conds {
+			if !seen[cond] {
+				seen[cond] = true
+				txn.If = append(txn.If, wireCond(cond))
+			}
+		}
+		for _, w := range in.Writes {
+			c.busyKeys[w.Key] = true
+			if w.Data == nil {
+				txn.Then = append(txn.Then, wireWrite{Drop: w.Key})
+			} else {
+				txn.Then = append(txn.Then, wireWrite{Write: w.Key, Data: w.Data, Tether: w.Tether})
+			}
+		}
+	}
+	body, err := json.Marshal(txn)
+	if err != nil {
+		panic(err) // our own values are valid JSON
+	}
+	c.writes.take(now, float64(ops))
+	c.inflight++
+	c.call("POST", "/commit", body, callTimeout, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
+		c.inflight--
+		for _, in := range batch {
+			for _, w := range in.Writes {
+				delete(c.busyKeys, w.Key)
+			}
+		}
+		c.committed(batch, now, status, body, out)
+		c.Tick(now, out)
+	})
+}
+
+func (c *Client) committed(batch []*Intent, now step.Time, status int, body []byte, out *step.Out) {
+	var v struct {
+		Epoch  uint64   `json:"epoch"`
+		Failed []string `json:"failed"`
+	}
+	if status == 200 || status == 409 {
+		if json.Unmarshal(body, &v) != nil {
+			status = 0
+		}
+	}
+	switch status {
+	case 200:
+		for _, in := range batch {
+			for _, w := range in.Writes {
+				c.apply(w.Key, w.Data, v.Epoch)
+			}
+		}
+		for _, in := range batch {
+			in.Done(Result{OK, v.Epoch, now, out})
+		}
+	case 409:
+		// One failing condition must not fail its neighbours for good.
+		failed := map[string]bool{}
+		for _, k := range v.Failed {
+			failed[k] = true
+		}
+		var again []*Intent
+		for _, in := range batch {
+			bad := false
+			for _, cond := range in.Conds {
+				bad = bad || failed[cond.Key]
+			}
+			if bad || len(batch) == 1 {
+				in.Done(Result{Conflict, 0, now, out})
+			} else {
+				again = append(again, in)
+			}
+		}
+		c.requeue(again)
+	case 429, 503:
+		c.pauseTo = now + refusedPause
+		c.requeue(batch)
+	case 400:
+		if len(batch) > 1 {
+			for _, in := range batch {
+				in.tries = max(in.tries, 2)
+			}
+			c.requeue(batch)
+			return
+		}
+		batch[0].Done(Result{Refused, 0, now, out})
+	default:
+		for _, in := range batch {
+			in.Done(Result{Unknown, 0, now, out})
+		}
+	}
+}
+
+func (c *Client) requeue(list []*Intent) {
+	for i := len(list) - 1; i >= 0; i-- {
+		p := list[i].Priority
+		c.queue[p] = append([]*Intent{list[i]}, c.queue[p]...)
+	}
+}
+
+// Key parts must not hold spaces; ours never do. SplitKey cuts the first
+// segment off a key.
+func SplitKey(key string) (kind, rest string) {
+	kind, rest, _ = strings.Cut(key, "/")
+	return kind, rest
+}
+
+// bucket is a token bucket with one second's burst.
+type bucket struct {
+	rate, level float64
+	at          step.Time
+}
+
+func newBucket(rate float64) bucket { return bucket{rate: rate, level: rate} }
+
+func (b *bucket) fill(now step.Time) {
+	if now > b.at {
+		b.level = math.Min(math.Max(b.rate, 1), b.level+b.rate*(now-b.at).Seconds())
+		b.at = now
+	}
+}
+
+func (b *bucket) has(now step.Time, n float64) bool {
+	b.fill(now)
+	return b.level >= n
+}
+
+func (b *bucket) whole(now step.Time) int {
+	b.fill(now)
+	return int(math.Max(b.level, 0))
+}
+
+func (b *bucket) take(now step.Time, n float64) {
+	b.fill(now)
+	b.level -= n
+}
