--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -247,6 +247,8 @@
 		f.log.Info("worker lost its lease", "host", r.Host, "tenure", r.Tenure)
 	}
 	if h.Heard == 0 {
+		// A machine is not idle while it boots.
+		h.IdleFrom = now
 		f.Jobs.Changed = true
 	}
 	h.Addr, h.Spot, h.Tenure, h.Tick, h.Heard = r.Addr, r.Spot, r.Tenure, r.Tick, now
