--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -199,7 +199,7 @@
 		n.blocked, n.rooms = n.placer.Round(now)
 		if now-n.planAt >= planEvery {
 			n.planAt = now
-			n.rental.Plan(now, n.blocked, n.rooms, n.placer.Quota, n.lead.Fence(), out)
+			n.rental.Plan(now, n.blocked, n.rooms, n.placer, n.lead.Fence(), out)
 		}
 	}
 	n.jobs.Flush(now, n.lead.Cond(), n.store)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -216,12 +216,7 @@
 		return
 	}
 	sort.SliceStable(cands, func(a, b int) bool { return p.score(j, cands[a]) < p.score(j, cands[b]) })
-	inZone := map[int]int{}
-	j.Entries(func(e *pipeline.Entry) {
-		if h := p.Fleet.At(e.Host); h != nil {
-			inZone[h.Zone]++
-		}
-	})
+	inZone := p.Zones(j)
 	if j.SamePlace {
 		cands = p.onePlace(j, cands, inZone, want)
 	}
@@ -232,10 +227,7 @@
 	var picks []pick
 	left := want
 	for _, r := range cands {
-		n := min(left, r.Fits(&j.Spec))
-		if j.Scatter {
-			n = min(n, (j.N+1)/2-inZone[r.Zone])
-		}
+		n := min(left, r.Fits(&j.Spec), ZoneRoom(j, inZone, r.Zone))
 		if n <= 0 {
 			continue
 		}
@@ -266,6 +258,30 @@
 	}
 }
 
+const unknownZone = -1
+
+// Zones counts, per zone, the tasks of a job that may be on machines there.
+func (p *Placer) Zones(j *pipeline.Job) map[int]int {
+	inZone := map[int]int{}
+	j.Entries(func(e *pipeline.Entry) {
+		zone := unknownZone
+		if h := p.Fleet.At(e.Host); h != nil {
+			zone = h.Zone
+		}
+		inZone[zone]++
+	})
+	return inZone
+}
+
+// ZoneRoom is how many more tasks of a job a zone may take. A new leader does
+// not know yet where a silent machine stands: its tasks count in every zone.
+func ZoneRoom(j *pipeline.Job, inZone map[int]int, zone int) int {
+	if !j.Scatter {
+		return math.MaxInt32
+	}
+	return (j.N+1)/2 - inZone[zone] - inZone[unknownZone]
+}
+
 // onePlace keeps the candidates of a single zone: the one that tasks of the
 // job may still be in, else the one that holds most of them.
 func (p *Placer) onePlace(j *pipeline.Job, cands []*Room, inZone map[int]int, want int) []*Room {
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -3,11 +3,13 @@
 package rental
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"lugward/internal/fleet"
@@ -236,8 +238,8 @@
 	if !r.listing && now-r.listAt >= listEvery && r.allowed(now) {
 		r.list(now, "", out)
 	}
-	for i, b := range r.boots {
-		h := r.fleet.At(i)
+	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
+		b, h := r.boots[i], r.fleet.At(i)
 		if h == nil || h.Heard > 0 {
 			delete(r.boots, i)
 			r.jobs.Changed = true
@@ -280,7 +282,7 @@
 
 func (r *Rental) sendReturns(now step.Time, term store.Cond, out *step.Out) {
 	var hosts []string
-	for name := range r.retired {
+	for _, name := range slices.Sorted(maps.Keys(r.retired)) {
 		if r.returning[name] {
 			continue
 		}
@@ -289,7 +291,6 @@
 			hosts = append(hosts, name)
 		}
 	}
-	sort.Strings(hosts)
 	for _, h := range r.fleet.Hosts {
 		// A retirement whose write was refused is logged again.
 		if h != nil && h.Retiring && r.retired[h.Name] == 0 && !r.returning[h.Name] {
@@ -386,34 +387,43 @@
 // Plan rents for the tasks that found no room: first the machines that are
 // still booting are filled in thought, then what is left is bought where a
 // task costs least.
-func (r *Rental) Plan(now step.Time, blocked []*pipeline.Job, rooms []*place.Room, quota func(*pipeline.Job) int, term uint64, out *step.Out) {
-	for i, b := range r.boots {
-		if h := r.fleet.At(i); h != nil && !h.Retiring && h.Heard == 0 {
+func (r *Rental) Plan(now step.Time, blocked []*pipeline.Job, rooms []*place.Room, p *place.Placer, term uint64, out *step.Out) {
+	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
+		if h, b := r.fleet.At(i), r.boots[i]; h != nil && !h.Retiring && h.Heard == 0 {
 			rooms = append(rooms, r.room(b.offer))
 		}
 	}
-	for o, n := range r.hiring {
-		for ; n > 0; n-- {
+	for _, o := range sortedOffers(r.hiring) {
+		for n := r.hiring[o]; n > 0; n-- {
 			rooms = append(rooms, r.room(o))
 		}
 	}
 	need := map[offer]int{}
 	for _, j := range blocked {
-		left := min(j.OpenCount(), quota(j))
+		left := min(j.OpenCount(), p.Quota(j))
+		if j.Shape == pipeline.Gang && left < j.OpenCount() {
+			continue
+		}
+		inZone := p.Zones(j)
+		only, ok := r.onlyZone(j, inZone, rooms, left, now)
+		if !ok {
+			continue
+		}
 		for _, room := range rooms {
 			if left == 0 {
 				break
 			}
-			if room == nil || !room.Suits(&j.Spec) || (room.Host != nil && j.BadHosts[room.Host.Index]) {
+			if room == nil || !room.Suits(&j.Spec) || (room.Host != nil && j.BadHosts[room.Host.Index]) || (only >= 0 && room.Zone != only) {
 				continue
 			}
-			if n := min(left, room.Fits(&j.Spec)); n > 0 {
+			if n := min(left, room.Fits(&j.Spec), place.ZoneRoom(j, inZone, room.Zone)); n > 0 {
 				room.Take(&j.Spec, n)
+				inZone[room.Zone] += n
 				left -= n
 			}
 		}
 		for left > 0 {
-			o, per, ok := r.cheapest(j, left, now)
+			o, per, ok := r.cheapest(j, left, inZone, only, now)
 			if !ok {
 				break
 			}
@@ -421,15 +431,16 @@
 			n := min(per, left)
 			room := r.room(o)
 			room.Take(&j.Spec, n)
+			inZone[o.zone] += n
 			rooms = append(rooms, room)
 			left -= n
 		}
 	}
-	for o, n := range need {
+	for _, o := range sortedOffers(need) {
 		if !r.allowed(now) {
 			return
 		}
-		r.hire(now, o, min(n, maxNumber), term, out)
+		r.hire(now, o, min(need[o], maxNumber), term, out)
 	}
 }
 
@@ -441,8 +452,50 @@
 	return &place.Room{Flavor: f, Zone: o.zone, Spot: o.spot, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
 }
 
+// onlyZone names the zone to which a job that must stay in one is bound: the
+// one its tasks may still be in, else the one where the missing machines cost
+// least. -1: any; false: there is none.
+func (r *Rental) onlyZone(j *pipeline.Job, inZone map[int]int, rooms []*place.Room, left int, now step.Time) (zone int, ok bool) {
+	if !j.SamePlace {
+		return -1, true
+	}
+	if len(inZone) > 0 {
+		zone = slices.Sorted(maps.Keys(inZone))[0]
+		return zone, len(inZone) == 1 && zone >= 0
+	}
+	least := math.Inf(1)
+	for z := range r.names.Zones.Len() {
+		rest := left
+		for _, room := range rooms {
+			if room != nil && room.Zone == z && room.Suits(&j.Spec) {
+				rest -= room.Fits(&j.Spec)
+			}
+		}
+		cost := 0.0
+		if rest > 0 {
+			o, per, found := r.cheapest(j, rest, inZone, z, now)
+			if !found {
+				continue
+			}
+			cost = r.price(o) * math.Ceil(float64(rest)/float64(per))
+		}
+		if cost < least {
+			least, zone, ok = cost, z, true
+		}
+	}
+	return zone, ok
+}
+
+func (r *Rental) price(o offer) float64 {
+	f := r.Flavors.Get(o.flavor)
+	if o.spot {
+		return f.LowPrice
+	}
+	return f.Price
+}
+
 // cheapest finds the offer at which the tasks cost least per hour.
-func (r *Rental) cheapest(j *pipeline.Job, left int, now step.Time) (best offer, per int, ok bool) {
+func (r *Rental) cheapest(j *pipeline.Job, left int, inZone map[int]int, only int, now step.Time) (best offer, per int, ok bool) {
 	least := math.Inf(1)
 	for _, f := range r.Flavors {
 		if !place.Allowed(&j.Spec, f) {
@@ -452,15 +505,14 @@
 			for _, spot := range []bool{true, false} {
 				o := offer{f.Index, z, spot}
 				room := r.room(o)
-				if at, no := r.refused[o]; (no && now < at) || !room.Suits(&j.Spec) {
+				if at, no := r.refused[o]; (no && now < at) || !room.Suits(&j.Spec) || (only >= 0 && z != only) {
 					continue
 				}
-				price := f.Price
-				if spot {
-					price = f.LowPrice
+				n := min(room.Fits(&j.Spec), place.ZoneRoom(j, inZone, z))
+				if n <= 0 {
+					continue
 				}
-				n := room.Fits(&j.Spec)
-				if cost := price / float64(min(n, left)); cost < least {
+				if cost := r.price(o) / float64(min(n, left)); cost < least {
 					least, best, per, ok = cost, o, n, true
 				}
 			}
@@ -534,3 +586,16 @@
 		}
 	}
 }
+
+// sortedOffers lists the keys in an order that does not change from run to run.
+func sortedOffers(m map[offer]int) []offer {
+	return slices.SortedFunc(maps.Keys(m), func(a, b offer) int {
+		spot := 0
+		if a.spot != b.spot {
+			if spot = 1; a.spot {
+				spot = -1
+			}
+		}
+		return cmp.Or(cmp.Compare(a.flavor, b.flavor), cmp.Compare(a.zone, b.zone), spot)
+	})
+}
--- /dev/null
+++ b/internal/simtest/scenario_test.go
@@ -0,0 +1,217 @@
+package simtest
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+func logOut() io.Writer {
+	if os.Getenv("SIM_LOG") != "" {
+		return os.Stderr
+	}
+	return io.Discard
+}
+
+func args(d *datadriven.TestData) Args {
+	a := Args{}
+	for _, c := range d.CmdArgs {
+		a[c.Key] = ""
+		if len(c.Vals) > 0 {
+			a[c.Key] = c.Vals[0]
+		}
+	}
+	return a
+}
+
+// TestScenarios plays every text file below testdata. A file starts with
+// "world"; whatever else it shows, it must end with the rules kept.
+func TestScenarios(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.txt")
+	if len(files) == 0 {
+		t.Fatal("no scenarios")
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			var w *World
+			datadriven.RunTest(t, f, func(t *testing.T, d *datadriven.TestData) string {
+				a := args(d)
+				if d.Cmd == "world" {
+					w = New(int(a.num("nodes", "3")), uint64(a.num("seed", "1")), logOut())
+					w.watchRules()
+					return "ok"
+				}
+				return w.Do(d.Cmd, a, d.Input)
+			})
+			if v := w.Verdict(); v != "kept" {
+				t.Errorf("rules broken:\n%s", v)
+			}
+		})
+	}
+}
+
+// TestRandomFaults plays random jobs under random faults; the rules must hold
+// and, once the faults are over, every job must end.
+func TestRandomFaults(t *testing.T) {
+	const plays = 24
+	for seed := uint64(1); seed <= plays; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed)
+		})
+	}
+}
+
+// The drawn faults are the same at every run, so that the verdict is, too.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// TestDrawnFaults lets rapid draw the seed and shrink a failure.
+func TestDrawnFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64Range(1000, 1<<32).Draw(rt, "seed")
+		play(rt, seed)
+	})
+}
+
+type failer interface {
+	Errorf(format string, args ...any)
+}
+
+func play(t failer, seed uint64) {
+	w := New(3, seed, logOut())
+	w.watchRules()
+	w.loss, w.late = 0.01, 0.05
+	for range 3 {
+		w.cloud.add("small", []string{"a", "b"}[w.rng.IntN(2)], false, 0)
+	}
+	var open []string
+	kinds := []string{"array", "array", "gang", "daemon"}
+	for i := range 8 {
+		a := Args{"id": fmt.Sprintf("req-%06d", i), "shape": kinds[w.rng.IntN(4)], "shards": fmt.Sprint(1 + w.rng.IntN(5)),
+			"run": fmt.Sprintf("%ds", 2+w.rng.IntN(15)), "team": []string{"red", "blue"}[w.rng.IntN(2)]}
+		if w.rng.IntN(2) == 0 {
+			a["snap"] = "3s"
+		}
+		if w.rng.IntN(2) == 0 {
+			a["loaners"] = ""
+		}
+		if w.rng.IntN(3) == 0 {
+			a["same"] = ""
+		} else if w.rng.IntN(3) == 0 {
+			a["scatter"] = ""
+		}
+		status, _ := w.Submit(a)
+		if status == 200 || status == 201 {
+			open = append(open, a["id"])
+		}
+		w.misfortune()
+		w.Run(seconds(w.rng.Float64() * 6))
+		if w.rng.IntN(3) == 0 && len(open) > 0 {
+			w.Poll(open[w.rng.IntN(len(open))])
+		}
+		if w.rng.IntN(4) == 0 && len(open) > 0 {
+			w.Cancel(open[w.rng.IntN(len(open))])
+		}
+	}
+	w.calm()
+	for _, id := range open {
+		if w.jobs[id].shape == "daemon" {
+			w.Cancel(id)
+		}
+	}
+	for range 120 {
+		left := 0
+		for _, id := range open {
+			if told := w.check.told[id]; told != "done" && told != "cancelled" {
+				left++
+				w.Poll(id)
+			}
+		}
+		if left == 0 {
+			break
+		}
+		w.Run(seconds(2))
+	}
+	for _, id := range open {
+		if told := w.check.told[id]; told != "done" && told != "cancelled" {
+			t.Errorf("seed %d: %s is still %s", seed, id, told)
+		}
+	}
+	if v := w.Verdict(); v != "kept" {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+}
+
+// misfortune brings one random fault, which ends by itself.
+func (w *World) misfortune() {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	long := seconds(0.1 + w.rng.Float64()*20)
+	switch w.rng.IntN(9) {
+	case 0, 1:
+		if n.up {
+			n.kill()
+			w.after(long/4, func() {
+				if !n.up {
+					n.boot()
+				}
+			})
+		}
+	case 2:
+		w.Cut(n.name, "state", true)
+		w.after(long, func() { w.Cut(n.name, "state", false) })
+	case 3:
+		for _, k := range w.workers {
+			w.Cut(n.name, k.name, true)
+		}
+		w.after(long, func() {
+			for _, k := range w.workers {
+				w.Cut(n.name, k.name, false)
+			}
+		})
+	case 4:
+		w.state.outage(true)
+		w.after(long, func() { w.state.outage(false) })
+	case 5:
+		if on := w.check.onMachines(); len(on) > 0 {
+			k := on[w.rng.IntN(len(on))].on
+			switch w.rng.IntN(3) {
+			case 0:
+				k.die()
+			case 1:
+				k.hung = true
+				w.after(long, func() { k.hung = false })
+			default:
+				w.cloud.remove(k.name)
+			}
+		}
+	case 6:
+		w.cloud.down = true
+		w.after(long, func() { w.cloud.down = false })
+	case 7:
+		w.cloud.never = 1 + w.rng.IntN(2)
+	}
+}
+
+// calm ends all faults.
+func (w *World) calm() {
+	w.Run(seconds(25))
+	w.loss, w.late, w.cloud.never, w.cloud.down = 0, 0, 0, false
+	for _, n := range w.nodes {
+		if !n.up {
+			n.boot()
+		}
+	}
+}
--- /dev/null
+++ b/internal/simtest/script.go
@@ -0,0 +1,293 @@
+package simtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Args are the arguments of a scenario's command.
+type Args map[string]string
+
+func (a Args) or(key, def string) string {
+	if v, ok := a[key]; ok {
+		return v
+	}
+	return def
+}
+
+func (a Args) num(key, def string) float64 {
+	v, err := strconv.ParseFloat(a.or(key, def), 64)
+	if err != nil {
+		panic(fmt.Sprintf("%s=%s is not a number", key, a[key]))
+	}
+	return v
+}
+
+func (a Args) dur(key, def string) time.Duration {
+	v, err := time.ParseDuration(a.or(key, def))
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func (a Args) flag(key string) bool { _, ok := a[key]; return ok }
+
+// userRetry is how long users go on asking.
+const userRetry = 60 * time.Second
+
+// Body registers a job with the workers, as its user does, and returns the
+// submission.
+func (w *World) Body(a Args) []byte {
+	id := a["id"]
+	j := w.jobs[id]
+	if j == nil {
+		j = &job{id: id, progress: map[int]time.Duration{}, complete: map[int]bool{}, gangs: map[uint64]*gang{}}
+		w.jobs[id] = j
+	}
+	j.team, j.shape = a.or("team", "red"), a.or("shape", "array")
+	j.n = int(a.num("shards", "1"))
+	j.cores, j.cards, j.ram = a.num("cores", "1"), a.num("cards", "0"), a.num("ram", "1")
+	if f, ok := a["flavors"]; ok {
+		j.flavors = strings.Split(f, "+")
+	}
+	j.yard = a["yard"]
+	j.same, j.scatter, j.loaners, j.broken = a.flag("same"), a.flag("scatter"), a.flag("loaners"), a.flag("broken")
+	j.run, j.image = a.dur("run", "5s"), a.dur("image", "1s")
+	j.snapEvery, j.snapCost = a.dur("snap", "0s"), a.dur("cost", "1s")
+	o := object{"name_id": id, "jobclass": "c", "owner": j.team, "shape": j.shape, "rank": a.or("rank", "normal"), "shards": j.n,
+		"cores": j.cores, "cards": j.cards, "ram_gb": j.ram, "bundle": a.or("bundle", "img"), "image_gb": 1, "flavors": j.flavors, "yard": nil,
+		"same_place": j.same, "scatter": j.scatter, "loaners": j.loaners, "expect_s": j.run.Seconds(),
+		"snapshot_every_s": j.snapEvery.Seconds(), "snapshot_s": j.snapCost.Seconds(), "due_s": nil}
+	if j.yard != "" {
+		o["yard"] = j.yard
+	}
+	b, _ := json.Marshal(o)
+	return b
+}
+
+// ask sends one user request to a node and plays until the answer is there.
+func (w *World) ask(n *node, method, path string, body []byte) (int, map[string]any) {
+	status, done := 0, false
+	var answer map[string]any
+	w.request("user", n, method, path, body, 5*time.Second, func(s int, b []byte) {
+		status, done = s, true
+		_ = json.Unmarshal(b, &answer)
+	})
+	for end := w.now + 6*time.Second; !done && w.now < end; {
+		w.Run(20 * time.Millisecond)
+	}
+	return status, answer
+}
+
+// user repeats a request as users do until an answer counts.
+func (w *World) user(id, method, path string, body []byte) (int, string) {
+	for end := w.now + userRetry; ; w.Run(time.Second) {
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		status, v := w.ask(n, method, path, body)
+		phase, _ := v["phase"].(string)
+		w.check.answered(id, status, phase)
+		switch status {
+		case 200, 201, 400, 404, 422:
+			return status, phase
+		}
+		if w.now >= end {
+			return status, "gave up"
+		}
+	}
+}
+
+// Submit submits a job.
+func (w *World) Submit(a Args) (int, string) {
+	body := w.Body(a)
+	w.jobs[a["id"]].submitted = true
+	return w.user(a["id"], "POST", "/submissions", body)
+}
+
+// Poll asks for a job's state once, without insisting.
+func (w *World) Poll(id string) (int, string) {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	status, v := w.ask(n, "GET", "/submissions/"+id, nil)
+	phase, _ := v["phase"].(string)
+	w.check.answered(id, status, phase)
+	return status, phase
+}
+
+// Cancel cancels a job.
+func (w *World) Cancel(id string) (int, string) {
+	w.check.asked[id] = true
+	return w.user(id, "POST", "/submissions/"+id+"/cancel", nil)
+}
+
+// watchRules checks what must hold at any time.
+func (w *World) watchRules() {
+	w.check.moment()
+	w.after(500*time.Millisecond, w.watchRules)
+}
+
+// Verdict is "kept" or what was broken.
+func (w *World) Verdict() string {
+	all := append(append([]string(nil), w.check.Broken...), w.faults...)
+	if len(all) == 0 {
+		return "kept"
+	}
+	return strings.Join(all, "\n")
+}
+
+func (w *World) pick(name string) []*node {
+	switch name {
+	case "all":
+		return w.nodes
+	case "leader":
+		if l := w.Leader(); l != nil {
+			return []*node{l}
+		}
+		return nil
+	}
+	i, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
+	if err != nil || i >= len(w.nodes) {
+		panic("no node " + name)
+	}
+	return []*node{w.nodes[i]}
+}
+
+// hostOf finds the machine that a task is on.
+func (w *World) hostOf(shard string) *worker {
+	for _, t := range w.check.onMachines() {
+		if t.shard == shard {
+			return t.on
+		}
+	}
+	return nil
+}
+
+// Do carries out one command of a scenario and returns its output.
+func (w *World) Do(cmd string, a Args, input string) string {
+	switch cmd {
+	case "machine":
+		for range int(a.num("count", "1")) {
+			w.cloud.add(a.or("flavor", "small"), a.or("zone", "a"), a.flag("spot"), 0)
+		}
+	case "capacity":
+		for _, spot := range []bool{false, true} {
+			for _, z := range []string{"a", "b"} {
+				w.cloud.capacity[capacityKey(a["flavor"], z, spot)] = int(a.num("count", "0"))
+			}
+		}
+	case "never":
+		w.cloud.never = int(a.num("count", "1"))
+	case "submit":
+		status, phase := w.Submit(a)
+		return fmt.Sprintf("%d %s", status, phase)
+	case "poll":
+		status, phase := w.Poll(a["id"])
+		return fmt.Sprintf("%d %s", status, phase)
+	case "cancel":
+		status, phase := w.Cancel(a["id"])
+		return fmt.Sprintf("%d %s", status, phase)
+	case "raw":
+		status, _ := w.ask(w.nodes[0], a.or("method", "POST"), a["path"], []byte(input))
+		return strconv.Itoa(status)
+	case "write":
+		// A record as another version or a pipeline's author would store it.
+		w.state.epoch++
+		w.state.keys[a["key"]] = stateKey{data: json.RawMessage(strings.TrimSpace(input)), stamp: w.state.epoch}
+		w.state.log = append(w.state.log, stateChange{Write: a["key"], Data: w.state.keys[a["key"]].data, Stamp: w.state.epoch})
+		w.state.wake()
+	case "job":
+		w.Body(a)
+		w.jobs[a["id"]].submitted = true
+	case "run":
+		w.Run(a.dur("for", "1s"))
+	case "until":
+		end := w.now + a.dur("within", "60s")
+		phase := ""
+		for w.now < end {
+			if _, phase = w.Poll(a["id"]); phase == a["phase"] {
+				return phase
+			}
+			w.Run(500 * time.Millisecond)
+		}
+		return "still " + phase
+	case "kill":
+		for _, n := range w.pick(a["node"]) {
+			n.kill()
+		}
+	case "boot":
+		for _, n := range w.pick(a["node"]) {
+			if !n.up {
+				n.boot()
+			}
+		}
+	case "cut", "heal":
+		on := cmd == "cut"
+		for _, n := range w.pick(a["node"]) {
+			if a["from"] == "workers" {
+				for _, k := range w.workers {
+					if z, ok := a["zone"]; !ok || z == k.zone {
+						w.Cut(n.name, k.name, on)
+					}
+				}
+				continue
+			}
+			w.Cut(n.name, a["from"], on)
+		}
+	case "outage":
+		w.state.outage(!a.flag("over"))
+	case "cloud":
+		w.cloud.down = !a.flag("over")
+	case "network":
+		w.loss, w.late = a.num("loss", "0"), a.num("late", "0")
+	case "pages":
+		w.pageLimit = int(a.num("limit", "1000"))
+	case "die", "hang", "recall", "taken":
+		k := w.hostOf(a["shard"])
+		if k == nil {
+			return "not on a machine"
+		}
+		switch cmd {
+		case "die":
+			k.die()
+		case "taken":
+			w.cloud.remove(k.name)
+		case "hang":
+			k.hung = true
+			w.after(a.dur("for", "5s"), func() { k.hung = false })
+		case "recall":
+			k.recallAt, k.changed = w.now+a.dur("in", "8s"), true
+			w.after(a.dur("in", "8s"), func() { w.cloud.remove(k.name) })
+		}
+	case "zones":
+		count := map[string]int{}
+		for _, t := range w.check.onMachines() {
+			if t.job.id == a["id"] {
+				count[t.on.zone]++
+			}
+		}
+		return fmt.Sprintf("a=%d b=%d", count["a"], count["b"])
+	case "machines":
+		types := map[string]int{}
+		for _, h := range w.cloud.hosts {
+			types[h.flavor]++
+		}
+		var names []string
+		for n := range types {
+			names = append(names, fmt.Sprintf("%s=%d", n, types[n]))
+		}
+		sort.Strings(names)
+		return strings.Join(names, " ")
+	case "keys":
+		return strings.Join(w.Keys(a["prefix"]), "\n")
+	case "starts":
+		return strconv.Itoa(w.check.starts)
+	case "rules":
+		return w.Verdict()
+	default:
+		return "unknown command " + cmd
+	}
+	return "ok"
+}
--- /dev/null
+++ b/internal/simtest/world.go
@@ -0,0 +1,334 @@
+// Package simtest plays whole scenarios in virtual time: several cores against
+// stand-ins of the state service, the cloud and the workers, written from
+// their published protocols, with a checker that watches the rules.
+package simtest
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"lugward/internal/config"
+	"lugward/internal/core"
+	"lugward/internal/step"
+)
+
+const (
+	stateAddr = "10.2.0.1:2379"
+	cloudAddr = "10.2.0.2:8443"
+	tickEvery = 50 * time.Millisecond
+)
+
+// World is one simulated deployment.
+type World struct {
+	now   time.Duration
+	queue events
+	seq   int
+	rng   *rand.Rand
+	cfg   *config.Platform
+
+	nodes   []*node
+	state   *state
+	cloud   *cloud
+	workers map[string]*worker // by address
+	jobs    map[string]*job
+	check   *Checker
+
+	cut       map[[2]string]bool
+	held      []heldPacket
+	loss      float64 // share of packets between hosts that are lost
+	late      float64 // share of calls to the state service and cloud executed late as well
+	pageLimit int
+	faults    []string // errors of the service against its own limits
+	log       *slog.Logger
+}
+
+type heldPacket struct {
+	path [2]string
+	do   func()
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at < e[b].at || (e[a].at == e[b].at && e[a].seq < e[b].seq)
+}
+func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// Settings are the JSON settings that every simulated controller gets.
+const Settings = `{"label":"n0","site":"a","bind":"10.0.0.1:8080","peer_bind":"10.0.0.1:8081","seeds":[],
+"services":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
+"settings":{"count":3,"zones":["a","b"],
+"teams":[{"name":"red","gpus":4,"gpus_max":8},{"name":"blue","gpus":4,"cpus_max":16}],"objectives":[],
+"workers":{"report_s":1,"lease_s":10,"gang_wait_s":15,"gang_peer_s":2,"cancel_s":25},
+"state":{"rps":100,"write_rps":60,"value_kb":4,"txn_ops":12},
+"cloud":{"rps":4,"list_lag_s":2},
+"resources":{"core_share":0.1,"ram_mb":100,"max_connections":500},"skew_ms":100}}`
+
+// New returns a world with so many controllers.
+func New(nodes int, seed uint64, log io.Writer) *World {
+	cfg, err := config.Parse([]byte(Settings))
+	if err != nil {
+		panic(err)
+	}
+	w := &World{rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, workers: map[string]*worker{}, jobs: map[string]*job{},
+		cut: map[[2]string]bool{}, pageLimit: 1000, log: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelInfo}))}
+	w.state, w.cloud, w.check = newState(w), newCloud(w), newChecker(w)
+	for i := range nodes {
+		w.nodes = append(w.nodes, &node{w: w, index: i, name: fmt.Sprintf("n%d", i)})
+	}
+	for _, n := range w.nodes {
+		n.boot()
+	}
+	return w
+}
+
+func (w *World) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, f})
+}
+
+// Run plays for d.
+func (w *World) Run(d time.Duration) {
+	end := w.now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *World) fault(f string, a ...any) { w.faults = append(w.faults, fmt.Sprintf(f, a...)) }
+
+// send delivers a packet after the network's delay. A cut holds it back; lost
+// packets of a stream are resent, so a loss only ends the exchange.
+func (w *World) send(from, to string, do func()) {
+	path := [2]string{from, to}
+	if w.cut[path] {
+		w.held = append(w.held, heldPacket{path, do})
+		return
+	}
+	if w.rng.Float64() < w.loss {
+		return
+	}
+	w.after(time.Millisecond+time.Duration(w.rng.Int64N(int64(4*time.Millisecond))), do)
+}
+
+// Cut stops packets between two hosts in both directions.
+func (w *World) Cut(a, b string, on bool) {
+	for _, p := range [][2]string{{a, b}, {b, a}} {
+		w.cut[p] = on
+	}
+	if on {
+		return
+	}
+	held := w.held
+	w.held = nil
+	for _, h := range held {
+		w.send(h.path[0], h.path[1], h.do)
+	}
+}
+
+// node is a controller.
+type node struct {
+	w     *World
+	index int
+	name  string
+	core  *core.Node
+	out   step.Out
+	life  int // incarnation
+	up    bool
+	start time.Duration
+	conns map[uint64]func(status int, body []byte)
+	next  uint64
+}
+
+func (n *node) addr() string { return fmt.Sprintf("10.0.0.%d:8080", n.index+1) }
+
+func (n *node) boot() {
+	cfg := *n.w.cfg
+	cfg.Label, cfg.Seeds = n.name, nil
+	for _, o := range n.w.nodes {
+		if o != n {
+			cfg.Seeds = append(cfg.Seeds, config.Seed{Label: o.name, Endpoint: o.addr()})
+		}
+	}
+	n.life++
+	n.up, n.start = true, n.w.now
+	n.conns = map[uint64]func(int, []byte){}
+	n.core = core.New(&cfg, n.w.log.With("node", n.name, "life", n.life), nil)
+	n.out.Reset()
+	n.tick(n.life)
+}
+
+func (n *node) kill() {
+	n.up = false
+	conns := n.conns
+	n.conns = nil
+	var ids []uint64
+	for id := range conns {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	for _, id := range ids {
+		conns[id](0, nil)
+	}
+}
+
+func (n *node) tick(life int) {
+	if !n.up || n.life != life {
+		return
+	}
+	n.step(func(now step.Time) { n.core.Tick(now, &n.out) })
+	n.w.after(tickEvery, func() { n.tick(life) })
+}
+
+// step gives one input to the core and carries out the effects.
+func (n *node) step(f func(now step.Time)) {
+	f(n.w.now - n.start)
+	replies, calls, frames := n.out.Replies, n.out.Calls, n.out.Frames
+	n.out.Replies, n.out.Calls, n.out.Frames = nil, nil, nil
+	life := n.life
+	for _, r := range replies {
+		if answer := n.conns[r.Conn]; answer != nil {
+			delete(n.conns, r.Conn)
+			answer(r.Status, r.Body)
+		}
+	}
+	for _, c := range calls {
+		n.call(c, life)
+	}
+	for _, fr := range frames {
+		var to *node
+		k := 0
+		for _, o := range n.w.nodes {
+			if o != n {
+				if k == fr.Peer {
+					to = o
+				}
+				k++
+			}
+		}
+		data := fr.Data
+		n.w.send(n.name, to.name, func() {
+			if to.up {
+				to.step(func(now step.Time) { to.core.Frame(now, step.PeerFrame{Peer: -1, Data: data}, &to.out) })
+			}
+		})
+	}
+}
+
+func (n *node) call(c step.Call, life int) {
+	answered := false
+	finish := func(status int, body []byte) {
+		if answered || !n.up || n.life != life {
+			return
+		}
+		answered = true
+		n.step(func(now step.Time) {
+			n.core.CallDone(now, step.CallDone{ID: c.ID, Status: status, Body: body}, &n.out)
+		})
+	}
+	n.w.after(c.Timeout, func() { finish(0, nil) })
+	to := ""
+	var serve func(answer func(int, any))
+	switch c.Addr {
+	case stateAddr:
+		to = "state"
+		serve = func(a func(int, any)) { n.w.state.serve(c.Method, c.Path, c.Body, a) }
+	case cloudAddr:
+		to = "cloud"
+		serve = func(a func(int, any)) { n.w.cloud.serve(c.Method, c.Path, c.Body, a) }
+	default:
+		wk := n.w.workers[c.Addr]
+		if wk == nil {
+			return
+		}
+		to = wk.name
+		serve = func(a func(int, any)) { wk.serve(c.Path, c.Body, a) }
+	}
+	n.w.send(n.name, to, func() {
+		serve(func(status int, v any) {
+			body, _ := json.Marshal(v)
+			n.w.send(to, n.name, func() { finish(status, body) })
+		})
+		// A repeat of what was carried out, as the network may make it.
+		if c.Method == "POST" && n.w.rng.Float64() < n.w.late {
+			n.w.after(time.Duration(n.w.rng.Int64N(int64(20*time.Second))), func() { serve(func(int, any) {}) })
+		}
+	})
+}
+
+// request sends an HTTP request to a controller; answer is called once, with
+// status 0 for no response.
+func (w *World) request(from string, n *node, method, path string, body []byte, timeout time.Duration, answer func(status int, body []byte)) {
+	answered := false
+	once := func(status int, body []byte) {
+		if !answered {
+			answered = true
+			answer(status, body)
+		}
+	}
+	w.after(timeout, func() { once(0, nil) })
+	w.send(from, n.name, func() {
+		if !n.up {
+			once(0, nil)
+			return
+		}
+		n.next++
+		id := n.next
+		n.conns[id] = func(status int, body []byte) {
+			w.send(n.name, from, func() { once(status, body) })
+		}
+		n.step(func(now step.Time) {
+			n.core.Request(now, step.Request{Conn: id, Method: method, Path: path, Body: body}, &n.out)
+		})
+	})
+}
+
+// Keys lists what the state service holds, for scenarios to show.
+func (w *World) Keys(prefix string) []string {
+	var keys []string
+	for k, v := range w.state.keys {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, fmt.Sprintf("%s %s", k, v.data))
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Leader is the name of the controller that the state service shows as leader.
+func (w *World) Leader() *node {
+	var r struct {
+		Label string `json:"l"`
+	}
+	_ = json.Unmarshal(w.state.keys["t/lead"].data, &r)
+	for _, n := range w.nodes {
+		if n.name == r.Label {
+			return n
+		}
+	}
+	return nil
+}
