--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -121,10 +121,13 @@
 // MayAnswer tells whether reports may be answered with 200: while entitled
 // and, with nothing started, for the grace after that.
 func (l *Lead) MayAnswer(now step.Time) bool {
-	if l.Entitled(now) {
-		return true
+	// A cancellation that another node told may be missing from our replica
+	// for no longer than the grace, whatever the lease says: every 200 keeps
+	// the tasks of that worker alive.
+	if !l.Holds() || now >= l.store.Fresh()+l.cfg.Grace {
+		return false
 	}
-	return l.Holds() && now < l.validTo-l.cfg.Life+l.cfg.Grace && l.highest <= l.fence
+	return now < l.validTo || (now < l.validTo-l.cfg.Life+l.cfg.Grace && l.highest <= l.fence)
 }
 
 // Since is when our term began.
@@ -159,7 +162,7 @@
 // Tick renews or stands for election.
 func (l *Lead) Tick(now step.Time, out *step.Out) {
 	if l.Holds() {
-		if !l.MayAnswer(now) && !l.Entitled(now) {
+		if !l.MayAnswer(now) {
 			l.lose("grace is over")
 			return
 		}
--- a/internal/simtest/scenario_test.go
+++ b/internal/simtest/scenario_test.go
@@ -173,11 +173,11 @@
 		w.Cut(n.name, "state", true)
 		w.after(long, func() { w.Cut(n.name, "state", false) })
 	case 3:
-		for _, k := range w.workers {
+		for _, k := range w.Workers() {
 			w.Cut(n.name, k.name, true)
 		}
 		w.after(long, func() {
-			for _, k := range w.workers {
+			for _, k := range w.Workers() {
 				w.Cut(n.name, k.name, false)
 			}
 		})
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -227,7 +227,7 @@
 		on := cmd == "cut"
 		for _, n := range w.pick(a["node"]) {
 			if a["from"] == "workers" {
-				for _, k := range w.workers {
+				for _, k := range w.Workers() {
 					if z, ok := a["zone"]; !ok || z == k.zone {
 						w.Cut(n.name, k.name, on)
 					}
--- a/internal/simtest/worker.go
+++ b/internal/simtest/worker.go
@@ -351,7 +351,8 @@
 	g.tasks[t.index] = t
 	if !g.started && len(g.tasks) == j.n {
 		g.started = true
-		for _, m := range g.tasks {
+		for i := range j.n {
+			m := g.tasks[i]
 			m.phase, m.begun = "running", k.w.now
 			m.on.changed = true
 			m.gen++
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -307,6 +307,16 @@
 	})
 }
 
+// Workers lists the workers in an order that does not change from run to run.
+func (w *World) Workers() []*worker {
+	var list []*worker
+	for _, k := range w.workers {
+		list = append(list, k)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].name < list[b].name })
+	return list
+}
+
 // Keys lists what the state service holds, for scenarios to show.
 func (w *World) Keys(prefix string) []string {
 	var keys []string
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -96,6 +96,7 @@
 	pageLimit    = 500
 	maxInFlight  = 2
 	refusedPause = 100 * time.Millisecond // after 429 or 503
+	staleAfter   = 3 * time.Second        // a replica this old is refreshed without being asked
 	reloadPause  = 300 * time.Millisecond
 )
 
@@ -132,6 +133,7 @@
 	barrierNext  step.Time
 	BarrierEvery time.Duration
 
+	fresh   step.Time // the replica held all changes up to then
 	contact step.Time // sending time of the last request that was executed
 	outage  bool      // the last answer was 503 or missing
 }
@@ -150,6 +152,10 @@
 // Contact is when the last request that the service executed was sent.
 func (c *Client) Contact() step.Time { return c.contact }
 
+// Fresh is a time up to which the replica holds every change. A watch whose
+// answer got lost would else leave it stale for long with nobody noticing.
+func (c *Client) Fresh() step.Time { return c.fresh }
+
 // Outage tells whether the service failed to answer lately.
 func (c *Client) Outage() bool { return c.outage }
 
@@ -338,7 +344,7 @@
 
 // follow handles a /follow answer; it tells whether the replica is current as
 // of that answer.
-func (c *Client) follow(now step.Time, status int, body []byte) bool {
+func (c *Client) follow(sent step.Time, now step.Time, status int, body []byte) bool {
 	if status == 410 {
 		// Too far behind: read everything again.
 		c.synced, c.loadNext = false, now
@@ -351,6 +357,7 @@
 	if status != 200 || json.Unmarshal(body, &v) != nil {
 		return false
 	}
+	c.fresh = max(c.fresh, sent)
 	for _, ch := range v.Log {
 		if ch.Drop != "" {
 			c.apply(ch.Drop, nil, ch.Stamp)
@@ -371,11 +378,12 @@
 
 func (c *Client) watch(now step.Time, out *step.Out) {
 	c.watchOpen = true
+	sent := now
 	c.watchNext = now + c.WatchEvery
 	path := fmt.Sprintf("/follow?starts=&from=%d&wait_ms=%d", c.epoch, watchWait.Milliseconds())
 	c.call("GET", path, nil, watchWait+watchSlack, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
 		c.watchOpen = false
-		if !c.follow(now, status, body) {
+		if !c.follow(sent, now, status, body) {
 			c.watchNext = max(c.watchNext, now+refusedPause)
 		}
 		c.Tick(now, out)
@@ -391,15 +399,15 @@
 }
 
 func (c *Client) sendBarrier(now step.Time, out *step.Out) {
-	if c.barrierOpen || len(c.barriers) == 0 || now < c.barrierNext || !c.requests.has(now, 1) {
+	if c.barrierOpen || (len(c.barriers) == 0 && now-c.fresh < staleAfter) || now < c.barrierNext || !c.requests.has(now, 1) {
 		return
 	}
-	list := c.barriers
+	list, sent := c.barriers, now
 	c.barriers, c.barrierOpen, c.barrierNext = nil, true, now+c.BarrierEvery
 	path := fmt.Sprintf("/follow?starts=&from=%d&wait_ms=0", c.epoch)
 	c.call("GET", path, nil, callTimeout, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
 		c.barrierOpen = false
-		ok := c.follow(now, status, body)
+		ok := c.follow(sent, now, status, body)
 		if !ok {
 			c.barrierNext = now + refusedPause
 		}
