--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,43 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `{"label":"a","bind":"10.0.0.1:80","peer_bind":"10.0.0.1:81","seeds":[{"label":"b","endpoint":"10.0.0.2:81"}],"new":1,
+"services":{"cloud":"10.0.1.1:1","state":"10.0.1.2:1"},"settings":{"teams":[{"name":"t"}],
+"workers":{"report_s":1,"lease_s":30,"gang_wait_s":1,"gang_peer_s":1,"cancel_s":60},"state":{"rps":1,"write_rps":1,"value_kb":1,"txn_ops":1},
+"cloud":{"rps":1,"list_lag_s":0},"resources":{"core_share":0.1,"ram_mb":50,"max_connections":10}}}`
+
+func TestPlatform(t *testing.T) {
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`"label":"a"`, `"label":""`, "label is missing"},
+		{`10.0.0.1:80"`, `localhost:80"`, "bind"},
+		{`"label":"b"`, `"label":"a"`, "seeds"},
+		{`"txn_ops":1`, `"txn_ops":0`, "state.txn_ops"},
+		{`"cancel_s":60`, `"cancel_s":20`, "cancel_s"},
+		{`{"name":"t"}`, `{"name":"t","gpus":-1}`, "team"},
+		{`"rps":1`, `"rps":"x"`, "rps"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+}
+
+func TestOperator(t *testing.T) {
+	o, err := ParseOperator("[term]\nlife = \"5s\"\n")
+	if err != nil || o.Term.Life != 5e9 || o.Place.Round != DefaultOperator().Place.Round {
+		t.Errorf("%+v, %v", o, err)
+	}
+	for _, c := range [][2]string{{"[term]\nlives = \"5s\"", "term.lives"}, {"[term]\nlife = \"-5s\"", "positive"}, {"[term]\nlife = \"10ms\"", "at least"}, {"x", "line 1"}} {
+		if _, err := ParseOperator(c[0]); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%q: %v", c[0], err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/simtest/check_test.go
@@ -0,0 +1,73 @@
+package simtest
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestCheckerCatches shows that the checker sees each kind of violation.
+func TestCheckerCatches(t *testing.T) {
+	// place puts a task on a machine as a service that breaks rules would.
+	place := func(w *World, j *job, index int, flavor, zone string, spot bool) *task {
+		name := "i-" + string(rune('a'+len(w.workers)))
+		k := &worker{w: w, name: name, addr: name, flavor: flavor, zone: zone, spot: spot, up: true, tasks: map[string]*task{}}
+		w.workers[name] = k
+		x := &task{on: k, job: j, shard: j.id + "/" + string(rune('0'+index)), index: index, try: 1, phase: "running"}
+		k.tasks[x.shard] = x
+		w.check.started(x)
+		return x
+	}
+	cases := map[string]func(w *World, j *job){
+		"ran_twice": func(w *World, j *job) { place(w, j, 0, "small", "a", false); place(w, j, 0, "small", "b", false) },
+		"quota": func(w *World, j *job) {
+			j.cards = 5
+			place(w, j, 0, "card", "a", false)
+			place(w, j, 1, "card", "a", false)
+		},
+		"wrong_place: req-000001/0 try 1 on i-a (small": func(w *World, j *job) {
+			j.flavors = []string{"big"}
+			place(w, j, 0, "small", "a", false)
+		},
+		"spot true": func(w *World, j *job) { place(w, j, 0, "small", "a", true) },
+		"zones map[a:1 b:1]": func(w *World, j *job) {
+			j.same = true
+			place(w, j, 0, "small", "a", false)
+			place(w, j, 1, "small", "b", false)
+		},
+		"scatter true": func(w *World, j *job) {
+			j.scatter = true
+			place(w, j, 0, "small", "a", false)
+			place(w, j, 1, "small", "a", false)
+		},
+		"ran_cancelled": func(w *World, j *job) {
+			w.check.asked[j.id] = true
+			w.check.answered(j.id, 200, "cancelled")
+			place(w, j, 0, "small", "a", false)
+			w.now += 26 * time.Second
+			w.check.moment()
+		},
+		"forgotten": func(w *World, j *job) {
+			w.check.answered(j.id, 201, "queued")
+			w.check.answered(j.id, 404, "")
+		},
+		"invented":  func(w *World, _ *job) { w.check.answered("req-000009", 200, "queued") },
+		"not_done":  func(w *World, j *job) { w.check.answered(j.id, 200, "done") },
+		"went_back": func(w *World, j *job) { w.check.answered(j.id, 200, "cancelled") },
+		"was done": func(w *World, j *job) {
+			j.complete = map[int]bool{0: true, 1: true}
+			w.check.answered(j.id, 200, "done")
+			w.check.answered(j.id, 200, "queued")
+		},
+	}
+	for want, breakIt := range cases {
+		w := New(1, 1, io.Discard)
+		j := &job{id: "req-000001", team: "red", n: 2, submitted: true, complete: map[int]bool{}}
+		w.jobs[j.id] = j
+		breakIt(w, j)
+		if got := w.Verdict(); !strings.Contains(got, want) {
+			t.Errorf("%s: checker said %q", want, got)
+		}
+	}
+}
