--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,7 @@
 	beatLost   = 2 * time.Second // a peer not heard for this long is taken to be away
 	planEvery  = time.Second
 	roundIdle  = 2 * time.Second // a round without a change, for what time brings
+	packEvery  = 2 * time.Second
 	cleanEvery = time.Second
 	cleanJobs  = 2
 	// A leader that hears no worker for this long gives the term up.
@@ -69,6 +70,7 @@
 	beatAt   step.Time
 	roundAt  step.Time
 	planAt   step.Time
+	packAt   step.Time
 	cleanAt  step.Time
 	heardAny step.Time // a worker's report, as leader
 	blocked  []*pipeline.Job
@@ -215,6 +217,12 @@
 			n.rental.Plan(now, n.blocked, n.rooms, n.placer, n.lead.Fence(), out)
 		}
 	}
+	if now-n.packAt >= packEvery && n.rooms != nil {
+		n.packAt = now
+		if h := n.placer.Pack(now, n.rooms, n.blocked); h != nil {
+			n.log.Info("moving work off", "host", h.Name)
+		}
+	}
 	n.jobs.Flush(now, n.lead.Cond(), n.store)
 	if now-n.cleanAt >= cleanEvery {
 		n.cleanAt = now
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,6 +45,7 @@
 	Refused  step.Time // full or in_use: not to be used before
 	Errors   map[int]bool
 	Retiring bool // logged as retired: no task may be placed
+	Draining bool // its tasks were told to move: to be returned when empty
 	IdleFrom step.Time
 	direct   step.Time
 }
@@ -91,7 +92,7 @@
 
 // Up tells whether a machine can take tasks now.
 func (h *Host) Up(now step.Time, silent time.Duration) bool {
-	return h.Known && h.Heard > 0 && now-h.Heard < silent && !h.Retiring && h.RecallAt == 0 && h.Stray == 0 && now >= h.Refused && len(h.Errors) < faultyJobs
+	return h.Known && h.Heard > 0 && now-h.Heard < silent && !h.Retiring && !h.Draining && h.RecallAt == 0 && h.Stray == 0 && now >= h.Refused && len(h.Errors) < faultyJobs
 }
 
 const (
