--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -57,6 +57,7 @@
 	Spot              bool
 	Cores, Cards, RAM float64
 	Busy              bool
+	Leaving           []*pipeline.Entry // told to stop
 }
 
 const slack = 1e-6 // amounts are decimal numbers
@@ -115,6 +116,9 @@
 		r := &Room{Host: h, Flavor: f, Zone: h.Zone, Spot: h.Spot, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
 		for e := range p.Jobs.OnHost(h.Index) {
 			r.Take(&e.Job.Spec, 1)
+			if e.Evict {
+				r.Leaving = append(r.Leaving, e)
+			}
 		}
 		rooms = append(rooms, r)
 	}
@@ -144,6 +148,9 @@
 			j.FirstSeen = int64(now)
 		}
 		p.place(j, rooms, now)
+		if j.OpenCount() > 0 {
+			p.preempt(j, rooms, now)
+		}
 	}
 	for _, j := range jobs {
 		if j.OpenCount() > 0 {
@@ -156,17 +163,9 @@
 // order puts jobs of teams that are within their guarantee before others of
 // the same rank; within equal standing the order of readiness stays.
 func (p *Placer) order(jobs []*pipeline.Job) {
-	within := func(j *pipeline.Job) bool {
-		t, ok := p.Teams[j.Team]
-		if !ok || (t.Cores == 0 && t.Cards == 0) {
-			return false
-		}
-		u := p.Jobs.Team(j.Team)
-		return (t.Cores == 0 || u.Cores+j.Cores <= t.Cores+slack) && (t.Cards == 0 || u.Cards+j.Cards <= t.Cards+slack)
-	}
 	standing := make(map[*pipeline.Job]bool, len(jobs))
 	for _, j := range jobs {
-		standing[j] = within(j)
+		standing[j] = p.within(j)
 	}
 	sort.SliceStable(jobs, func(a, b int) bool {
 		if jobs[a].Rank != jobs[b].Rank {
@@ -176,6 +175,16 @@
 	})
 }
 
+// within tells whether one more task of the job is within its team's guarantee.
+func (p *Placer) within(j *pipeline.Job) bool {
+	t, ok := p.Teams[j.Team]
+	if !ok || (t.Cores == 0 && t.Cards == 0) {
+		return false
+	}
+	u := p.Jobs.Team(j.Team)
+	return (t.Cores == 0 || u.Cores+j.Cores <= t.Cores+slack) && (t.Cards == 0 || u.Cards+j.Cards <= t.Cards+slack)
+}
+
 // Quota returns how many more tasks of the job its team's limit allows.
 func (p *Placer) Quota(j *pipeline.Job) int {
 	t := p.Teams[j.Team]
