--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -148,6 +148,7 @@
 	BadHosts   map[int]bool // machines on which a task of the job failed
 	Breaking   bool         // gang: the attempt is being ended
 	FirstSeen  int64
+	Promised   int          // tasks for which room is being made, as of the last round
 	doneUnlog  map[int]bool // done tasks whose entry is not ours to mark
 	cleaning   bool
 	PlacedScan int // where the next placement round looks first
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -147,6 +147,7 @@
 		if j.FirstSeen == 0 {
 			j.FirstSeen = int64(now)
 		}
+		j.Promised = 0
 		p.place(j, rooms, now)
 		if j.OpenCount() > 0 {
 			p.preempt(j, rooms, now)
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -31,6 +31,7 @@
 			best.Leaving = append(best.Leaving, e)
 		}
 		best.Take(&j.Spec, 1)
+		j.Promised++
 	}
 }
 
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -399,11 +399,27 @@
 		}
 	}
 	need := map[offer]int{}
+	leaving := map[*pipeline.Job]int{}
+	for _, room := range rooms {
+		if room == nil {
+			continue
+		}
+		for _, e := range room.Leaving {
+			if e.Job.Final == pipeline.Queued {
+				if leaving[e.Job]++; leaving[e.Job] == 1 && !slices.Contains(blocked, e.Job) {
+					blocked = append(blocked, e.Job)
+				}
+			}
+		}
+	}
 	for _, j := range blocked {
 		left := min(j.OpenCount(), p.Quota(j))
 		if j.Shape == pipeline.Gang && left < j.OpenCount() {
 			continue
 		}
+		// What was stopped will need room again, what room is being made for
+		// needs none.
+		left = max(0, left+leaving[j]-j.Promised)
 		inZone := p.Zones(j)
 		only, ok := r.onlyZone(j, inZone, rooms, left, now)
 		if !ok {
