Images and due reports count in seconds when a machine is chosen

Cause: a first fetch costs cuadre 8 s of its 10 s, and a start waits up to 3.75 s for the next report.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,7 +100,7 @@
 	n.fleet = fleet.New(n.names, n.jobs, log)
 	n.rental = rental.New(rental.Config{Addr: cfg.Services.Cloud, RPS: s.Cloud.RPS, ListLag: config.Seconds(s.Cloud.ListLagS),
 		IdleKeep: time.Duration(cfg.Operator.Rental.IdleKeep), Settle: time.Duration(cfg.Operator.Rental.Settle)}, n.names, n.jobs, n.fleet, n.store, log)
-	n.placer = &place.Placer{Jobs: n.jobs, Fleet: n.fleet, Flavors: &n.rental.Flavors, Teams: teams, Silent: n.silent()}
+	n.placer = &place.Placer{Jobs: n.jobs, Fleet: n.fleet, Flavors: &n.rental.Flavors, Teams: teams, Report: config.Seconds(s.Workers.ReportS), Silent: n.silent()}
 	n.intake = intake.New(intake.Config{Label: cfg.Label, Teams: s.Teams, Answer: time.Duration(cfg.Operator.Intake.Answer),
 		ValueBytes: int(s.State.ValueKB * 1024)}, n.names, n.jobs, n.store, &n.rental.Flavors)
 	n.share()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -303,6 +303,9 @@
 		f.log.Debug("started", "job", j.ID, "task", e.Task, "try", e.Try, "host", h.Name, "since_placed", now-time.Duration(e.Placed), "since_seen", now-time.Duration(j.FirstSeen))
 	}
 	e.Seen = ph
+	if ph >= pipeline.Waiting {
+		h.Images[j.Bundle] = true
+	}
 	if ph != pipeline.Exited {
 		return
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -94,6 +94,7 @@
 	Fleet   *fleet.Fleet
 	Flavors *Flavors
 	Teams   map[int]config.Team
+	Report  step.Time // between two reports of a machine
 	Silent  step.Time // a machine not heard for this long gets nothing new
 
 	// Elapsed tells how much of the budget is used; nil: no limit.
@@ -225,7 +226,7 @@
 	if len(cands) == 0 {
 		return
 	}
-	sort.SliceStable(cands, func(a, b int) bool { return p.score(j, cands[a]) < p.score(j, cands[b]) })
+	sort.SliceStable(cands, func(a, b int) bool { return p.score(j, cands[a], now) < p.score(j, cands[b], now) })
 	inZone := p.Zones(j)
 	if j.SamePlace {
 		cands = p.onePlace(j, cands, inZone, want)
@@ -325,15 +326,28 @@
 	return kept
 }
 
+const (
+	fetchWeight = 0.2
+	dueWeight   = 0.1
+)
+
+// FetchTime is how long a machine fetches a job's image, in seconds.
+func (r *Room) FetchTime(j *pipeline.Job) float64 {
+	if r.Host == nil || r.Host.Images[j.Bundle] || r.Flavor.Fetch <= 0 {
+		return 0
+	}
+	return j.ImageGB / r.Flavor.Fetch
+}
+
 // score: less is better.
-func (p *Placer) score(j *pipeline.Job, r *Room) float64 {
+func (p *Placer) score(j *pipeline.Job, r *Room, now step.Time) float64 {
 	s := 0.0
 	if j.Cards == 0 && r.Flavor.Cards > 0 {
 		s += 100 // cards would lie idle
 	}
-	if !r.Host.Images[j.Bundle] {
-		s += 1
-	}
+	s += fetchWeight * r.FetchTime(j)
+	// The start travels in the answer to the machine's next report.
+	s += dueWeight * max(0, (p.Report-(now-r.Host.Heard)).Seconds())
 	if !r.Busy {
 		s += 2
 	}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -12,6 +12,10 @@
 // to come free or up before work that borrows is stopped for it.
 const patience = int64(30e9)
 
+// fetchCost weighs a second that the more important job waits for its image
+// against a second that a stopped task loses.
+const fetchCost = 4.0
+
 // preempt makes room for a job that found none by stopping work that it
 // outranks. Room that is already being emptied is counted first, so that a
 // job does not stop more than it needs.
@@ -75,9 +79,7 @@
 				continue
 			}
 		}
-		if !r.Host.Images[j.Bundle] {
-			cost += 5
-		}
+		cost += fetchCost * r.FetchTime(j)
 		if best == nil || cost < least {
 			best, least, victims = r, cost, list
 		}
