--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -152,6 +152,7 @@
 		p.place(j, rooms, now)
 		if j.OpenCount() > 0 {
 			p.preempt(j, rooms, now)
+			p.reserve(j, rooms, now)
 		}
 	}
 	for _, j := range jobs {
