Plans spread over the zones and follow a refusal at once

Cause: during the first ramp each refusal cost a second or two and equal offers were asked one after the other.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -205,6 +205,7 @@
 	n.drain(now)
 	n.rental.Tick(now, n.lead.Cond(), n.silent(), out)
 	since := now - n.roundAt
+	n.jobs.Changed = n.jobs.Changed || n.rental.Replan
 	if (n.jobs.Changed && since >= time.Duration(n.cfg.Operator.Place.Round)) || since >= roundIdle {
 		n.roundAt, n.jobs.Changed = now, false
 		if n.clock != nil {
@@ -212,8 +213,8 @@
 			n.placer.Elapsed = func() bool { return n.clock()-begin > budget }
 		}
 		n.blocked, n.rooms = n.placer.Round(now)
-		if now-n.planAt >= planEvery {
-			n.planAt = now
+		if now-n.planAt >= planEvery || n.rental.Replan {
+			n.planAt, n.rental.Replan = now, false
 			n.rental.Plan(now, n.blocked, n.rooms, n.placer, n.lead.Fence(), out)
 		}
 	}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -39,9 +39,11 @@
 	callWait     = 8 * time.Second
 	typesEvery   = 60 * time.Second
 	listEvery    = 10 * time.Second
-	refusedPause = 15 * time.Second
+	refusedPause = 15 * time.Second // doubles with each refusal
+	refusedMost  = 2 * time.Minute
 	troublePause = 2 * time.Second
 	maxNumber    = 50
+	spread       = 1e-3 // weighs less than any real difference in price
 	maxReturn    = 100
 	listLimit    = 500
 	// A machine that is up neither reports nor boots for this long is lost.
@@ -84,7 +86,7 @@
 	listing   bool
 	serial    int
 	hiring    map[offer]int // machines asked for
-	refused   map[offer]step.Time
+	refused   map[offer]refusal
 	boots     map[int]*booting
 	retired   map[string]uint64 // by name: stamp of the logged retirement
 	returning map[string]bool
@@ -92,6 +94,9 @@
 	returned  map[string]step.Time // machines the cloud has taken back from us
 	since     step.Time
 	again     []retry // hires to repeat
+
+	// Replan is set when an answer calls for another plan at once.
+	Replan bool
 }
 
 // New returns the slice.
@@ -104,7 +109,7 @@
 
 // Forget drops what only a leader knows.
 func (r *Rental) Forget() {
-	r.hiring, r.refused, r.boots = map[offer]int{}, map[offer]step.Time{}, map[int]*booting{}
+	r.hiring, r.refused, r.boots = map[offer]int{}, map[offer]refusal{}, map[int]*booting{}
 	r.returning, r.logging, r.returned = map[string]bool{}, map[string]bool{}, map[string]step.Time{}
 	r.typesAt, r.listAt, r.listing = -typesEvery, -listEvery, false
 	clear(r.calls)
@@ -316,6 +321,7 @@
 			h := r.fleet.Host(n, now)
 			r.fleet.Gone(h, now) // the answer proves that nothing runs there
 			delete(r.boots, h.Index)
+			delete(r.refused, offer{h.Flavor, h.Zone, h.Spot}) // there is one to be had now
 			r.fleet.Hosts[h.Index] = nil
 			r.returned[n] = now
 			r.returning[n] = true // not again, until the log entry is dropped
@@ -439,7 +445,7 @@
 			}
 		}
 		for left > 0 {
-			o, per, ok := r.cheapest(j, left, inZone, only, now)
+			o, per, ok := r.cheapest(j, left, inZone, only, need, now)
 			if !ok {
 				break
 			}
@@ -489,7 +495,7 @@
 		}
 		cost := 0.0
 		if rest > 0 {
-			o, per, found := r.cheapest(j, rest, inZone, z, now)
+			o, per, found := r.cheapest(j, rest, inZone, z, nil, now)
 			if !found {
 				continue
 			}
@@ -511,7 +517,7 @@
 }
 
 // cheapest finds the offer at which the tasks cost least per hour.
-func (r *Rental) cheapest(j *pipeline.Job, left int, inZone map[int]int, only int, now step.Time) (best offer, per int, ok bool) {
+func (r *Rental) cheapest(j *pipeline.Job, left int, inZone map[int]int, only int, need map[offer]int, now step.Time) (best offer, per int, ok bool) {
 	least := math.Inf(1)
 	for _, f := range r.Flavors {
 		if !place.Allowed(&j.Spec, f) {
@@ -521,14 +527,16 @@
 			for _, spot := range []bool{true, false} {
 				o := offer{f.Index, z, spot}
 				room := r.room(o)
-				if at, no := r.refused[o]; (no && now < at) || !room.Suits(&j.Spec) || (only >= 0 && z != only) {
+				if now < r.refused[o].until || !room.Suits(&j.Spec) || (only >= 0 && z != only) {
 					continue
 				}
 				n := min(room.Fits(&j.Spec), place.ZoneRoom(j, inZone, z))
 				if n <= 0 {
 					continue
 				}
-				if cost := r.price(o) / float64(min(n, left)); cost < least {
+				// Equal offers share what is asked, so that one plan reaches the
+				// capacity of all zones.
+				if cost := r.price(o) / float64(min(n, left)) * (1 + spread*float64(need[o])); cost < least {
 					least, best, per, ok = cost, o, n, true
 				}
 			}
@@ -537,6 +545,17 @@
 	return best, per, ok
 }
 
+// refusal is what we know of an offer that is sold out.
+type refusal struct {
+	until step.Time
+	pause time.Duration
+}
+
+func (r *Rental) refuse(o offer, now step.Time) {
+	pause := min(refusedMost, max(refusedPause, 2*r.refused[o].pause))
+	r.refused[o] = refusal{now + pause, pause}
+}
+
 // hire asks for machines. The name holds the term, so that no other leader
 // ever uses it again.
 func (r *Rental) hire(now step.Time, o offer, n int, term uint64, out *step.Out) {
@@ -567,10 +586,10 @@
 				}
 			}
 			if len(v.Hosts) < n {
-				r.refused[o] = now + refusedPause
+				r.refuse(o, now)
 			}
 		case status == 503 && v.Error == "no capacity" || status == 400:
-			r.refused[o] = now + refusedPause
+			r.refuse(o, now)
 		case tries < hireTries:
 			// Lost or in trouble: the same name again, so that it is rented
 			// once at most.
@@ -580,6 +599,7 @@
 			r.again = append(r.again, retry{now + troublePause, func(out *step.Out) { r.send(name, o, n, tries+1, out) }})
 			return
 		}
+		r.Replan = true
 		if r.hiring[o] -= n; r.hiring[o] <= 0 {
 			delete(r.hiring, o)
 		}
