Plans look ahead by the boot time of the types a job may use

What ends before a rented machine could be up counts as room. A daemon never ends: without that a replica was left unplaced (scenario takeover_scatter).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -215,7 +215,7 @@
 		n.blocked, n.rooms = n.placer.Round(now)
 		if now-n.planAt >= planEvery || n.rental.Replan {
 			n.planAt, n.rental.Replan = now, false
-			n.rental.Plan(now, n.blocked, n.rooms, n.placer, n.lead.Fence(), out)
+			n.rental.Plan(now, n.blocked, n.placer, n.lead.Fence(), out)
 		}
 	}
 	if now-n.packAt >= packEvery && n.rooms != nil {
--- a/internal/place/pack.go
+++ b/internal/place/pack.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"lugward/internal/fleet"
@@ -20,6 +21,9 @@
 
 // Remaining estimates how long a task still runs, in seconds.
 func Remaining(e *pipeline.Entry, now step.Time) float64 {
+	if e.Job.Shape == pipeline.Daemon {
+		return math.Inf(1) // until it is cancelled
+	}
 	if e.Started == 0 {
 		return e.Job.Expect
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -3,7 +3,9 @@
 package place
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 
 	"lugward/internal/config"
@@ -58,6 +60,7 @@
 	Cores, Cards, RAM float64
 	Busy              bool
 	Leaving           []*pipeline.Entry // told to stop
+	ends              []ending          // soonest first
 }
 
 const slack = 1e-6 // amounts are decimal numbers
@@ -126,6 +129,58 @@
 	return rooms
 }
 
+// RoomsAhead lists what is left of the machines that are up once the tasks
+// that are told to stop are gone; those are returned. Advance then adds what
+// ends later.
+func (p *Placer) RoomsAhead(now step.Time) (rooms []*Room, leaving []*pipeline.Entry) {
+	rooms = p.Rooms(now)
+	for _, r := range rooms {
+		for e := range p.Jobs.OnHost(r.Host.Index) {
+			switch {
+			case e.Evict && e.Job.Final == pipeline.Queued:
+				leaving = append(leaving, e)
+				r.give(&e.Job.Spec)
+			case e.Job.Final != pipeline.Queued || e.Wish != pipeline.Keep:
+				r.give(&e.Job.Spec)
+			default:
+				r.ends = append(r.ends, ending{e, Remaining(e, now)})
+			}
+		}
+		sortEnds(r.ends)
+	}
+	slices.SortFunc(leaving, func(a, b *pipeline.Entry) int {
+		return cmp.Or(cmp.Compare(a.Job.Order, b.Job.Order), cmp.Compare(a.Task, b.Task))
+	})
+	return rooms, leaving
+}
+
+// ending is a task with the seconds it is expected to run on.
+type ending struct {
+	e  *pipeline.Entry
+	at float64
+}
+
+func sortEnds(ends []ending) {
+	slices.SortFunc(ends, func(a, b ending) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.e.Job.Order, b.e.Job.Order), cmp.Compare(a.e.Task, b.e.Task))
+	})
+}
+
+// Advance makes room of what ends within so many seconds.
+func (r *Room) Advance(within float64) {
+	for len(r.ends) > 0 && r.ends[0].at <= within {
+		r.give(&r.ends[0].e.Job.Spec)
+		r.ends = r.ends[1:]
+	}
+}
+
+// give takes a task's use of the room back.
+func (r *Room) give(s *pipeline.Spec) {
+	r.Cores += s.Cores
+	r.Cards += s.Cards
+	r.RAM += s.RAM
+}
+
 // Round places what it can and returns the jobs that still have tasks open,
 // with the rooms as they are left.
 func (p *Placer) Round(now step.Time) (blocked []*pipeline.Job, rooms []*Room) {
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -43,9 +43,7 @@
 func (r *Room) future() Room {
 	f := *r
 	for _, e := range r.Leaving {
-		f.Cores += e.Job.Cores
-		f.Cards += e.Job.Cards
-		f.RAM += e.Job.RAM
+		f.give(&e.Job.Spec)
 	}
 	return f
 }
@@ -111,9 +109,7 @@
 	for _, c := range cands {
 		list = append(list, c.e)
 		cost += c.cost
-		f.Cores += c.e.Job.Cores
-		f.Cards += c.e.Job.Cards
-		f.RAM += c.e.Job.RAM
+		f.give(&c.e.Job.Spec)
 		if f.Fits(&j.Spec) > 0 {
 			return list, cost
 		}
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -1,9 +1,7 @@
 package place
 
 import (
-	"cmp"
 	"math"
-	"slices"
 
 	"lugward/internal/pipeline"
 	"lugward/internal/step"
@@ -37,30 +35,22 @@
 
 // fitsAt estimates in how many seconds a task of the job fits on a machine.
 func (p *Placer) fitsAt(j *pipeline.Job, r *Room, now step.Time) float64 {
-	type end struct {
-		e  *pipeline.Entry
-		at float64
-	}
-	var ends []end
+	var ends []ending
 	for e := range p.Jobs.OnHost(r.Host.Index) {
 		at := Remaining(e, now)
 		if e.Evict {
 			at = e.Job.SnapCost
 		}
-		ends = append(ends, end{e, at})
+		ends = append(ends, ending{e, at})
 	}
-	slices.SortFunc(ends, func(a, b end) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.e.Job.Order, b.e.Job.Order), cmp.Compare(a.e.Task, b.e.Task))
-	})
+	sortEnds(ends)
 	free := *r
 	at := 0.0
 	for _, x := range ends {
 		if free.Fits(&j.Spec) > 0 {
 			return at
 		}
-		free.Cores += x.e.Job.Cores
-		free.Cards += x.e.Job.Cards
-		free.RAM += x.e.Job.RAM
+		free.give(&x.e.Job.Spec)
 		at = x.at
 	}
 	if free.Fits(&j.Spec) > 0 {
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -390,10 +390,18 @@
 	}
 }
 
-// Plan rents for the tasks that found no room: first the machines that are
-// still booting are filled in thought, then what is left is bought where a
-// task costs least.
-func (r *Rental) Plan(now step.Time, blocked []*pipeline.Job, rooms []*place.Room, p *place.Placer, term uint64, out *step.Out) {
+// Plan rents for the tasks that found no room, as things will stand when a
+// machine asked for now is up: what ends or leaves by then makes room, what
+// was stopped needs room again, and machines that are booting are filled in
+// thought. What is left is bought where a task costs least.
+func (r *Rental) Plan(now step.Time, blocked []*pipeline.Job, p *place.Placer, term uint64, out *step.Out) {
+	rooms, leaving := p.RoomsAhead(now)
+	again := map[*pipeline.Job]int{}
+	for _, e := range leaving {
+		if again[e.Job]++; again[e.Job] == 1 && !slices.Contains(blocked, e.Job) {
+			blocked = append(blocked, e.Job)
+		}
+	}
 	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
 		if h, b := r.fleet.At(i), r.boots[i]; h != nil && !h.Retiring && h.Heard == 0 {
 			rooms = append(rooms, r.room(b.offer))
@@ -405,27 +413,18 @@
 		}
 	}
 	need := map[offer]int{}
-	leaving := map[*pipeline.Job]int{}
-	for _, room := range rooms {
-		if room == nil {
-			continue
-		}
-		for _, e := range room.Leaving {
-			if e.Job.Final == pipeline.Queued {
-				if leaving[e.Job]++; leaving[e.Job] == 1 && !slices.Contains(blocked, e.Job) {
-					blocked = append(blocked, e.Job)
-				}
-			}
-		}
-	}
 	for _, j := range blocked {
 		left := min(j.OpenCount(), p.Quota(j))
 		if j.Shape == pipeline.Gang && left < j.OpenCount() {
 			continue
 		}
-		// What was stopped will need room again, what room is being made for
-		// needs none.
-		left = max(0, left+leaving[j]-j.Promised)
+		left += again[j]
+		boot := r.bootTime(j)
+		for _, room := range rooms {
+			if room != nil {
+				room.Advance(boot)
+			}
+		}
 		inZone := p.Zones(j)
 		only, ok := r.onlyZone(j, inZone, rooms, left, now)
 		if !ok {
@@ -474,6 +473,21 @@
 	return &place.Room{Flavor: f, Zone: o.zone, Spot: o.spot, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
 }
 
+// bootTime is how soon a machine asked for now can be up for a job: by the
+// cloud's word, the quickest type, in seconds.
+func (r *Rental) bootTime(j *pipeline.Job) float64 {
+	least := math.Inf(1)
+	for _, f := range r.Flavors {
+		if place.Allowed(&j.Spec, f) {
+			least = min(least, f.Ready)
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least
+}
+
 // onlyZone names the zone to which a job that must stay in one is bound: the
 // one its tasks may still be in, else the one where the missing machines cost
 // least. -1: any; false: there is none.
