--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -33,6 +34,11 @@
 	deafAfter = 12 * time.Second
 	// A report is answered when its consequences are stored, or after this.
 	answerWait = 400 * time.Millisecond
+	// A worker that is back within this time after it was sent to the leader
+	// did not reach it; its reports are passed on for a while.
+	backSoon  = 20 * time.Second
+	relayFor  = 45 * time.Second
+	relayWait = 3 * time.Second
 	// Rates: the leader writes most; the rest is for intake at the others.
 	leaderShare = 0.6
 	useRate     = 0.9 // what others still have in flight counts, too
@@ -46,11 +52,26 @@
 
 // waitingReport is a report that was taken in and not answered yet.
 type waitingReport struct {
-	conn   uint64
+	from   caller
 	report *fleet.Report
 	since  step.Time
 }
 
+// caller is where an answer to a report goes: to a connection of ours, or
+// through the peer that passed the report on.
+type caller struct {
+	conn  uint64
+	peer  int
+	relay uint64 // 0: it is a connection of ours
+}
+
+// passage is what a node that does not lead remembers of a worker.
+type passage struct {
+	fence    uint64    // of the leader it was sent to
+	sent     step.Time // when
+	relaying step.Time // since when its reports are passed on, 0: they are not
+}
+
 // Node is one controller.
 type Node struct {
 	cfg    *config.Platform
@@ -65,23 +86,26 @@
 	intake *intake.Intake
 	peers  []*peerState
 
-	clock    func() time.Duration
-	leading  bool
-	beatAt   step.Time
-	roundAt  step.Time
-	planAt   step.Time
-	packAt   step.Time
-	cleanAt  step.Time
-	heardAny step.Time // a worker's report, as leader
-	blocked  []*pipeline.Job
-	rooms    []*place.Room
-	waiting  []waitingReport
+	clock     func() time.Duration
+	leading   bool
+	beatAt    step.Time
+	roundAt   step.Time
+	planAt    step.Time
+	packAt    step.Time
+	cleanAt   step.Time
+	heardAny  step.Time // a worker's report, as leader
+	blocked   []*pipeline.Job
+	rooms     []*place.Room
+	waiting   []waitingReport
+	passages  map[string]*passage
+	relayed   map[uint64]pendingRelay
+	lastRelay uint64
 }
 
 // New builds a controller. clock bounds decision rounds and may be nil.
 func New(cfg *config.Platform, log *slog.Logger, clock func() time.Duration) *Node {
 	s := &cfg.Settings
-	n := &Node{cfg: cfg, log: log, names: &pipeline.Names{}, clock: clock}
+	n := &Node{cfg: cfg, log: log, names: &pipeline.Names{}, clock: clock, passages: map[string]*passage{}, relayed: map[uint64]pendingRelay{}}
 	teams := map[int]config.Team{}
 	for _, t := range s.Teams {
 		teams[n.names.Teams.Index(t.Name)] = t
@@ -98,6 +122,7 @@
 	n.lead = lead.New(lead.Config{Label: cfg.Label, Rank: sort.SearchStrings(labels, cfg.Label), Life: time.Duration(cfg.Operator.Term.Life),
 		Lease: lease, Grace: lead.GraceFor(config.Seconds(s.Workers.CancelS), lease)}, n.store, log)
 	n.fleet = fleet.New(n.names, n.jobs, log)
+	n.fleet.Silent = n.silent()
 	n.rental = rental.New(rental.Config{Addr: cfg.Services.Cloud, RPS: s.Cloud.RPS, ListLag: config.Seconds(s.Cloud.ListLagS),
 		IdleKeep: time.Duration(cfg.Operator.Rental.IdleKeep), Settle: time.Duration(cfg.Operator.Rental.Settle)}, n.names, n.jobs, n.fleet, n.store, log)
 	n.placer = &place.Placer{Jobs: n.jobs, Fleet: n.fleet, Flavors: &n.rental.Flavors, Teams: teams, Report: config.Seconds(s.Workers.ReportS), Silent: n.silent()}
@@ -143,6 +168,7 @@
 	n.lead.Tick(now, out)
 	n.settle(now, out)
 	n.beat(now, out)
+	n.expireRelays(now, out)
 	n.markReady(now)
 	if !n.lead.Entitled(now) {
 		if !n.leading {
@@ -289,12 +315,28 @@
 		n.log.Debug("bad frame", "err", err)
 		return
 	}
-	for _, p := range n.peers {
-		if p.label == fr.Label && fr.Kind == peer.Beat {
+	for i, p := range n.peers {
+		if p.label != fr.Label {
+			continue
+		}
+		switch fr.Kind {
+		case peer.Beat:
 			p.heard, p.beat = now, fr
 			if fr.Leads {
 				n.lead.SawFence(fr.Fence)
 			}
+		case peer.Relay:
+			rep, err := fleet.ParseReport(fr.Body)
+			if err == nil && n.leading && n.lead.MayAnswer(now) {
+				n.report(now, caller{peer: i, relay: fr.ID}, rep, out)
+			} else {
+				n.respond(caller{peer: i, relay: fr.ID}, 503, nil, out)
+			}
+		case peer.RelayAck:
+			if w, ok := n.relayed[fr.ID]; ok {
+				delete(n.relayed, fr.ID)
+				n.respond(caller{conn: w.conn}, int(fr.Status), fr.Body, out)
+			}
 		}
 	}
 }
@@ -357,7 +399,7 @@
 	Orders []fleet.Order `json:"orders"`
 }
 
-// hello answers a worker's report.
+// hello takes a worker's report.
 func (n *Node) hello(now step.Time, r step.Request, out *step.Out) {
 	rep, err := fleet.ParseReport(r.Body)
 	if err != nil {
@@ -366,18 +408,23 @@
 	}
 	if !n.leading || !n.lead.MayAnswer(now) {
 		n.lead.SawFence(rep.Fence)
-		n.misdirect(r.Conn, out)
+		n.passOn(now, r, rep.Host, out)
 		return
 	}
-	if !n.fleet.Take(rep, now, n.lead) || !n.lead.MayAnswer(now) {
-		out.Busy(r.Conn, 1)
+	n.report(now, caller{conn: r.Conn}, rep, out)
+}
+
+// report takes a report as leader.
+func (n *Node) report(now step.Time, from caller, rep *fleet.Report, out *step.Out) {
+	if !n.fleet.Take(rep, now, n.lead) {
+		n.respond(from, 503, nil, out)
 		return
 	}
 	n.heardAny = now
 	// An older report that still waits has lost its worker, and its list
 	// proves nothing any more.
 	n.waiting = slices.DeleteFunc(n.waiting, func(w waitingReport) bool { return w.report.Host == rep.Host })
-	n.waiting = append(n.waiting, waitingReport{r.Conn, rep, now})
+	n.waiting = append(n.waiting, waitingReport{from, rep, now})
 	if n.lead.Entitled(now) {
 		n.act(now, out)
 	}
@@ -385,6 +432,68 @@
 	n.answer(now, out)
 }
 
+func (n *Node) respond(to caller, status int, body []byte, out *step.Out) {
+	switch {
+	case to.relay != 0:
+		out.Send(to.peer, peer.Append(nil, &peer.Frame{Kind: peer.RelayAck, Label: n.cfg.Label, ID: to.relay, Status: uint16(status), Body: body}))
+	case status == 503:
+		out.Busy(to.conn, 1)
+	default:
+		out.Reply(to.conn, status, body)
+	}
+}
+
+// passOn sends a worker to the leader. One that comes back soon cannot reach
+// it: its reports are passed on over the peer link, so that a cut between two
+// zones costs no lease as long as some node reaches both sides. The leader
+// treats them like any other; a late one is merely old.
+func (n *Node) passOn(now step.Time, r step.Request, host string, out *step.Out) {
+	holder := n.lead.Holder()
+	link := -1
+	for i, p := range n.peers {
+		if p.label == holder && n.present(p) {
+			link = i
+		}
+	}
+	p := n.passages[host]
+	if fence := n.lead.HolderFence(); p == nil || p.fence != fence {
+		p = &passage{fence: fence, sent: -backSoon}
+		n.passages[host] = p
+	}
+	switch {
+	case link < 0 && now-p.sent < backSoon:
+		// It came back, and we do not reach the leader either.
+		out.Reply(r.Conn, 421, nil)
+	case link < 0 || now-p.sent >= backSoon || (p.relaying != 0 && now-p.relaying > relayFor):
+		p.sent, p.relaying = now, 0
+		n.misdirect(r.Conn, out)
+	default:
+		if p.relaying == 0 {
+			p.relaying = now
+			n.log.Info("passing on reports", "host", host, "to", holder)
+		}
+		p.sent = now
+		n.lastRelay++
+		n.relayed[n.lastRelay] = pendingRelay{r.Conn, now}
+		out.Send(link, peer.Append(nil, &peer.Frame{Kind: peer.Relay, Label: n.cfg.Label, ID: n.lastRelay, Body: r.Body}))
+	}
+}
+
+// expireRelays answers workers whose passed-on report nobody answered.
+func (n *Node) expireRelays(now step.Time, out *step.Out) {
+	for _, id := range slices.Sorted(maps.Keys(n.relayed)) {
+		if p := n.relayed[id]; now-p.since > relayWait {
+			delete(n.relayed, id)
+			out.Busy(p.conn, 1)
+		}
+	}
+}
+
+type pendingRelay struct {
+	conn  uint64
+	since step.Time
+}
+
 // answer answers the reports whose consequences are stored: what completed
 // can then be reaped, and what takes its place started, in the same response.
 // A write takes milliseconds; a slow one is not waited for.
@@ -393,7 +502,7 @@
 	for _, w := range n.waiting {
 		switch {
 		case !n.leading || !n.lead.MayAnswer(now):
-			n.misdirect(w.conn, out)
+			n.respond(w.from, 503, nil, out)
 		case now-w.since < answerWait && n.lead.Entitled(now) && (n.jobs.Changed || !n.fleet.Settled(w.report.Host)):
 			kept = append(kept, w)
 		default:
@@ -402,7 +511,7 @@
 				orders = []fleet.Order{}
 			}
 			body, _ := json.Marshal(helloAnswer{n.lead.Fence(), orders})
-			out.Reply(w.conn, 200, body)
+			n.respond(w.from, 200, body, out)
 		}
 	}
 	n.waiting = kept
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,7 @@
 	Tick     uint64
 	Heard    step.Time // of the last report, 0: none in this term
 	Answered step.Time
+	Back     step.Time // when it was last heard again after it had been silent
 	RecallAt step.Time // 0: no notice
 	Since    step.Time // when we first knew of it
 
@@ -58,7 +59,9 @@
 	log   *slog.Logger
 	addr  map[uint64]bool // direct calls in flight
 
-	// Boots holds learnt times from rental to first report, per flavor.
+	// Silent is how long a machine may be quiet before that tells something.
+	Silent step.Time
+	// OnDone hears of every completion, nil: nobody does.
 	OnDone func(j *pipeline.Job, e *pipeline.Entry, now step.Time)
 }
 
@@ -279,6 +282,9 @@
 		h.Images = map[int]bool{}
 		f.log.Info("worker lost its lease", "host", r.Host, "tenure", r.Tenure)
 	}
+	if h.Heard != 0 && now-h.Heard > f.Silent {
+		h.Back = now
+	}
 	if h.Heard == 0 {
 		// A machine is not idle while it boots.
 		h.IdleFrom = now
@@ -463,7 +469,9 @@
 
 // Gone clears everything on a machine that is proven to run nothing.
 func (f *Fleet) Gone(h *Host, now step.Time) {
-	f.log.Info("machine gone", "host", h.Name, "tasks", len(f.Jobs.OnHost(h.Index)))
+	if h.Heard != 0 {
+		f.log.Info("machine gone", "host", h.Name, "tasks", len(f.Jobs.OnHost(h.Index)))
+	}
 	for _, e := range f.sorted(h) {
 		if e.Job.Shape == pipeline.Gang && e.Job.N > 1 {
 			f.breakGang(e.Job)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -106,6 +106,9 @@
 // Holder is the label of the node that holds the term, "" if none is known.
 func (l *Lead) Holder() string { return l.holder }
 
+// HolderFence is the number of the term that the replica shows.
+func (l *Lead) HolderFence() uint64 { return l.holderFence }
+
 // Holds tells whether this node holds a term at all, be it only in grace.
 func (l *Lead) Holds() bool { return l.tether != 0 && l.termStamp != 0 }
 
@@ -245,6 +248,7 @@
 	sent, fence := now, l.fence
 	l.store.Extend(l.tether, l.cfg.Life/4, now, out, func(now step.Time, status int, _ *step.Out) {
 		l.extending = false
+		l.log.Debug("term renewal answered", "status", status, "after", now-sent, "fence", fence)
 		if fence != l.fence || !l.Holds() {
 			return
 		}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -48,6 +48,10 @@
 	listLimit    = 500
 	// A machine that is up neither reports nor boots for this long is lost.
 	silentLost = 60 * time.Second
+	// For each silent machine so many others of its zone must be heard.
+	silentShare = 3
+	// A zone counts as cut for so long after a machine came back.
+	cutMemory = 60 * time.Second
 	// Boots take several times the nominal time now and then; past this many
 	// times (and at least bootLeast) a machine is given up.
 	bootTimes = 4.0
@@ -260,6 +264,7 @@
 	if now-r.since < r.cfg.Settle {
 		return
 	}
+	r.giveUpSilent(now, term, silent)
 	for _, h := range r.fleet.Hosts {
 		if h == nil || !h.Known || h.Retiring || len(r.jobs.OnHost(h.Index)) > 0 {
 			continue
@@ -271,6 +276,41 @@
 	}
 }
 
+// giveUpSilent returns a machine that alone in its zone went silent: the
+// cloud's answer proves its tasks gone long before its lease does. Where
+// several are silent the network is the likelier cause, and they are left to
+// go on working; so they are while the zone comes back machine by machine.
+func (r *Rental) giveUpSilent(now step.Time, term store.Cond, silent time.Duration) {
+	zones := map[int][]*fleet.Host{}
+	for _, h := range r.fleet.Hosts {
+		if h != nil && h.Heard != 0 && !h.Retiring {
+			zones[h.Zone] = append(zones[h.Zone], h)
+		}
+	}
+	for _, z := range slices.Sorted(maps.Keys(zones)) {
+		var lost []*fleet.Host
+		for _, h := range zones[z] {
+			if now-h.Heard > silent {
+				lost = append(lost, h)
+			}
+		}
+		for _, l := range lost {
+			// Machines behind one cut go silent one by one, each when its next
+			// report is due: only those heard well after count.
+			heard := 0
+			for _, h := range zones[z] {
+				if h.Heard > l.Heard+silent*3/4 && (h.Back == 0 || now-h.Back > cutMemory) {
+					heard++
+				}
+			}
+			if heard >= silentShare*len(lost) {
+				r.log.Info("silent machine given up", "host", l.Name, "tasks", len(r.jobs.OnHost(l.Index)))
+				r.Retire(l, now, term)
+			}
+		}
+	}
+}
+
 // Retire logs that a machine gets nothing more; once that is stored it is
 // returned. A successor knows by the log not to use it.
 func (r *Rental) Retire(h *fleet.Host, now step.Time, term store.Cond) {
