--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -143,15 +143,13 @@
 	finishing bool
 	marking   bool
 	// Leader's notes, lost with the term.
-	Parked     int64 // not to be placed before this steady time
-	Errors     int
-	BadHosts   map[int]bool // machines on which a task of the job failed
-	Breaking   bool         // gang: the attempt is being ended
-	FirstSeen  int64
-	Promised   int          // tasks for which room is being made, as of the last round
-	doneUnlog  map[int]bool // done tasks whose entry is not ours to mark
-	cleaning   bool
-	PlacedScan int // where the next placement round looks first
+	Parked    int64 // not to be placed before this steady time
+	Errors    int
+	BadHosts  map[int]bool // machines on which a task of the job failed
+	Breaking  bool         // gang: the attempt is being ended
+	FirstSeen int64
+	doneUnlog map[int]bool // done tasks whose entry is not ours to mark
+	cleaning  bool
 }
 
 // Chunk is the part of a job's run record that one key holds.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -61,6 +61,7 @@
 	Busy              bool
 	Leaving           []*pipeline.Entry // told to stop
 	ends              []ending          // soonest first
+	sorted            bool              // ends are filled in
 }
 
 const slack = 1e-6 // amounts are decimal numbers
@@ -103,7 +104,9 @@
 	// Elapsed tells how much of the budget is used; nil: no limit.
 	Elapsed func() bool
 
-	resume int // job index at which the last round ran out of time
+	resume   *pipeline.Job // where the last round ran out of time
+	held     []holding     // by the jobs before that
+	reserved int           // tasks with a reservation in this round
 }
 
 // Rooms lists what is left of the machines that are up.
@@ -182,32 +185,38 @@
 }
 
 // Round places what it can and returns the jobs that still have tasks open,
-// with the rooms as they are left.
+// with the rooms as they are left. A round that runs out of its budget goes on
+// where it stopped, and then still keeps the room that the jobs before that
+// point were promised: else the less important ones behind them would take it.
 func (p *Placer) Round(now step.Time) (blocked []*pipeline.Job, rooms []*Room) {
 	rooms = p.Rooms(now)
 	jobs := p.Jobs.Ready(int64(now))
 	p.order(jobs)
-	start := 0
-	for i, j := range jobs {
-		if j.Index == p.resume {
-			start = i
+	start := slices.IndexFunc(jobs, func(j *pipeline.Job) bool { return j == p.resume })
+	if start < 0 {
+		start, p.held = 0, p.held[:0]
+	}
+	for _, h := range p.held {
+		if h.job.OpenCount() > 0 && h.job.Final == pipeline.Queued {
+			if i := slices.IndexFunc(rooms, func(r *Room) bool { return r.Host == h.host }); i >= 0 {
+				rooms[i].Take(&h.job.Spec, 1)
+			}
 		}
 	}
-	p.resume = -1
-	for i := range jobs {
-		j := jobs[(start+i)%len(jobs)]
-		if p.Elapsed != nil && p.Elapsed() {
-			p.resume = j.Index
+	p.resume = nil
+	p.reserved = 0
+	for i, j := range jobs[start:] {
+		if i > 0 && p.Elapsed != nil && p.Elapsed() {
+			p.resume = j
 			break
 		}
 		if j.FirstSeen == 0 {
 			j.FirstSeen = int64(now)
 		}
-		j.Promised = 0
 		p.place(j, rooms, now)
 		if j.OpenCount() > 0 {
-			p.preempt(j, rooms, now)
-			p.reserve(j, rooms, now)
+			left := p.preempt(j, rooms, now)
+			p.reserve(j, left, rooms, now)
 		}
 	}
 	for _, j := range jobs {
@@ -218,6 +227,17 @@
 	return blocked, rooms
 }
 
+// hold gives room that is not free yet to a task that waits for it.
+func (p *Placer) hold(j *pipeline.Job, r *Room) {
+	r.Take(&j.Spec, 1)
+	p.held = append(p.held, holding{j, r.Host})
+}
+
+type holding struct {
+	job  *pipeline.Job
+	host *fleet.Host
+}
+
 // order puts jobs of teams that are within their guarantee before others of
 // the same rank; within equal standing the order of readiness stays.
 func (p *Placer) order(jobs []*pipeline.Job) {
@@ -233,14 +253,13 @@
 	})
 }
 
-// within tells whether one more task of the job is within its team's guarantee.
+// within tells whether one more task of the job is within its team's
+// guarantee: it must use something that is guaranteed, and no guaranteed
+// amount may be exceeded. What is not guaranteed does not count.
 func (p *Placer) within(j *pipeline.Job) bool {
-	t, ok := p.Teams[j.Team]
-	if !ok || (t.Cores == 0 && t.Cards == 0) {
-		return false
-	}
-	u := p.Jobs.Team(j.Team)
-	return (t.Cores == 0 || u.Cores+j.Cores <= t.Cores+slack) && (t.Cards == 0 || u.Cards+j.Cards <= t.Cards+slack)
+	t, u := p.Teams[j.Team], p.Jobs.Team(j.Team)
+	cores, cards := t.Cores > 0 && j.Cores > 0, t.Cards > 0 && j.Cards > 0
+	return (cores || cards) && (!cores || u.Cores+j.Cores <= t.Cores+slack) && (!cards || u.Cards+j.Cards <= t.Cards+slack)
 }
 
 // Quota returns how many more tasks of the job its team's limit allows.
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -18,25 +18,26 @@
 
 // preempt makes room for a job that found none by stopping work that it
 // outranks. Room that is already being emptied is counted first, so that a
-// job does not stop more than it needs.
-func (p *Placer) preempt(j *pipeline.Job, rooms []*Room, now step.Time) {
-	left := min(j.OpenCount(), p.Quota(j))
+// job does not stop more than it needs. It returns how many tasks are left
+// without a promise.
+func (p *Placer) preempt(j *pipeline.Job, rooms []*Room, now step.Time) (left int) {
+	left = min(j.OpenCount(), p.Quota(j))
 	if j.Shape == pipeline.Gang && (j.N > 1 || left < j.OpenCount()) {
-		return // a gang would need all its places at the same moment
+		return left // a gang would need all its places at the same moment
 	}
 	guaranteed := p.within(j) && int64(now)-j.FirstSeen > patience
 	for ; left > 0; left-- {
 		best, victims := p.cheapestVictims(j, rooms, guaranteed, now)
 		if best == nil {
-			return
+			return left
 		}
 		for _, e := range victims {
 			p.Fleet.Evict(e, e.Job.SnapCost+1)
 			best.Leaving = append(best.Leaving, e)
 		}
-		best.Take(&j.Spec, 1)
-		j.Promised++
+		p.hold(j, best)
 	}
+	return 0
 }
 
 // future is the room with what is leaving already gone.
@@ -57,8 +58,10 @@
 	if !guaranteed || j.Team == o.Team {
 		return false
 	}
-	t, u := p.Teams[o.Team], p.Jobs.Team(o.Team)
-	return u.Cores > t.Cores+slack && o.Cores > 0 && j.Cores > 0 && j.Cards == 0 || u.Cards > t.Cards+slack && o.Cards > 0 && j.Cards > 0
+	// Only what borrows the very thing that is guaranteed gives way.
+	mine, t, u := p.Teams[j.Team], p.Teams[o.Team], p.Jobs.Team(o.Team)
+	return (mine.Cores > 0 && j.Cores > 0 && o.Cores > 0 && u.Cores > t.Cores+slack) ||
+		(mine.Cards > 0 && j.Cards > 0 && o.Cards > 0 && u.Cards > t.Cards+slack)
 }
 
 // cheapestVictims finds the machine on which the least has to be stopped.
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -7,15 +7,15 @@
 	"lugward/internal/step"
 )
 
-// mostReserved bounds the reservations of one job in one round.
-const mostReserved = 16
+// mostReserved bounds the reservations of one round: what is further back in
+// the order waits for later ones.
+const mostReserved = 64
 
-// reserve keeps room for a job that found none: on each machine it takes what
-// will be free first, so that jobs behind it in the order of readiness use
-// only what does not delay it.
-func (p *Placer) reserve(j *pipeline.Job, rooms []*Room, now step.Time) {
-	left := min(j.OpenCount()-j.Promised, p.Quota(j)-j.Promised, mostReserved)
-	for ; left > 0; left-- {
+// reserve keeps room for tasks of a job that found none: on each machine it
+// takes what will be free first, so that jobs behind it in the order of
+// readiness use only what does not delay it.
+func (p *Placer) reserve(j *pipeline.Job, left int, rooms []*Room, now step.Time) {
+	for ; left > 0 && p.reserved < mostReserved; left-- {
 		var best *Room
 		soonest := math.Inf(1)
 		for _, r := range rooms {
@@ -29,24 +29,27 @@
 		if best == nil {
 			return
 		}
-		best.Take(&j.Spec, 1)
+		p.reserved++
+		p.hold(j, best)
 	}
 }
 
 // fitsAt estimates in how many seconds a task of the job fits on a machine.
 func (p *Placer) fitsAt(j *pipeline.Job, r *Room, now step.Time) float64 {
-	var ends []ending
-	for e := range p.Jobs.OnHost(r.Host.Index) {
-		at := Remaining(e, now)
-		if e.Evict {
-			at = e.Job.SnapCost
+	if !r.sorted {
+		r.sorted = true
+		for e := range p.Jobs.OnHost(r.Host.Index) {
+			at := Remaining(e, now)
+			if e.Evict {
+				at = e.Job.SnapCost
+			}
+			r.ends = append(r.ends, ending{e, at})
 		}
-		ends = append(ends, ending{e, at})
+		sortEnds(r.ends)
 	}
-	sortEnds(ends)
 	free := *r
 	at := 0.0
-	for _, x := range ends {
+	for _, x := range r.ends {
 		if free.Fits(&j.Spec) > 0 {
 			return at
 		}
