--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"os"
 	"strings"
 	"testing"
 )
@@ -41,3 +42,14 @@
 		}
 	}
 }
+
+// TestSample: the documented sample is what the program does without one.
+func TestSample(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/lugward.sample.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o, err := ParseOperator(string(raw)); err != nil || o != DefaultOperator() {
+		t.Errorf("%+v, %v", o, err)
+	}
+}
