--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -77,10 +77,6 @@
 
 func (e *engine) eventLoop() gnet.EventLoop { return e.loop.Load().(loopBox) }
 
-// ownAddr marks the connection that the engine opens to itself to learn its
-// event loop.
-type ownAddr struct{}
-
 type engine struct {
 	gnet.BuiltinEventEngine
 	cfg   Config
@@ -88,7 +84,6 @@
 	log   *slog.Logger
 	start time.Time
 	loop  atomic.Value // gnet.EventLoop, set once by the loop itself
-	eng   gnet.Engine
 
 	out      step.Out
 	lastConn uint64
@@ -127,22 +122,15 @@
 
 func (e *engine) now() step.Time { return time.Since(e.start) }
 
-func (e *engine) OnBoot(eng gnet.Engine) gnet.Action {
-	e.eng = eng
-	return gnet.None
-}
-
 // OnTick runs on gnet's ticker goroutine: it only hands the work to the loop.
 func (e *engine) OnTick() (time.Duration, gnet.Action) {
 	if e.loop.Load() == nil {
 		// gnet tells its loop only through a connection, so the first tick
 		// opens one to ourselves.
-		addr, err := net.ResolveTCPAddr("tcp", e.cfg.Bind)
-		if err == nil {
-			_, err = e.eng.Register(gnet.NewContext(gnet.NewNetAddrContext(context.Background(), addr), ownAddr{}))
-		}
-		if err != nil {
+		if c, err := net.DialTimeout("tcp", e.cfg.Bind, dialTimeout); err != nil {
 			e.log.Error("no event loop", "err", err)
+		} else {
+			_ = c.Close()
 		}
 		return 4 * tickEvery, gnet.None
 	}
@@ -316,19 +304,16 @@
 	if e.loop.Load() == nil {
 		e.loop.Store(loopBox{g.EventLoop()})
 	}
-	switch ctx := g.Context().(type) {
-	case ownAddr:
-		return nil, gnet.Close
-	case *conn:
-		ctx.g = g
-		e.add(ctx)
-		if ctx.kind == kindPeerOut {
-			p := e.peers[ctx.peer]
-			p.busy, p.conn = false, ctx
-		} else if _, ok := e.expiry[ctx.call.ID]; ok {
-			e.issue(ctx, ctx.call)
+	if out, ok := g.Context().(*conn); ok {
+		out.g = g
+		e.add(out)
+		if out.kind == kindPeerOut {
+			p := e.peers[out.peer]
+			p.busy, p.conn = false, out
+		} else if _, ok := e.expiry[out.call.ID]; ok {
+			e.issue(out, out.call)
 		} else {
-			e.idle[ctx.addr] = append(e.idle[ctx.addr], ctx) // the call gave up meanwhile
+			e.idle[out.addr] = append(e.idle[out.addr], out) // the call gave up meanwhile
 		}
 		return nil, gnet.None
 	}
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,224 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lugward/internal/httpwire"
+	"lugward/internal/step"
+)
+
+// echo answers every request at once and makes the calls it is told to.
+type echo struct {
+	mu     sync.Mutex
+	frames [][]byte
+	calls  []string // addresses to call
+	done   chan step.CallDone
+}
+
+func (e *echo) Tick(_ step.Time, out *step.Out) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, a := range e.calls {
+		out.Call(a, "GET", "/x", nil, 2*time.Second)
+	}
+	e.calls = nil
+}
+
+func (e *echo) Request(_ step.Time, r step.Request, out *step.Out) {
+	out.Reply(r.Conn, 200, []byte(r.Method+" "+r.Path+" "+string(r.Body)))
+}
+
+func (e *echo) CallDone(_ step.Time, d step.CallDone, _ *step.Out) { e.done <- d }
+
+func (e *echo) Frame(_ step.Time, f step.PeerFrame, _ *step.Out) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.frames = append(e.frames, f.Data)
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs an engine for the rest of the test process.
+func start(t *testing.T, maxConnections int) (*echo, Config) {
+	e := &echo{done: make(chan step.CallDone, 10)}
+	cfg := Config{Bind: freeAddr(t), PeerBind: freeAddr(t), MaxConnections: maxConnections}
+	go func() { _ = Run(cfg, e, slog.New(slog.NewTextHandler(io.Discard, nil))) }()
+	for range 200 {
+		c, err := net.Dial("tcp", cfg.Bind)
+		if err == nil {
+			c.Close()
+			return e, cfg
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the engine does not listen")
+	return nil, cfg
+}
+
+// say sends raw bytes and returns all that comes back until the other side
+// closes; with more than one part, the parts arrive apart.
+func say(t *testing.T, addr string, parts ...string) string {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	for _, p := range parts {
+		if _, err := io.WriteString(c, p); err != nil {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	b, _ := io.ReadAll(c)
+	return string(b)
+}
+
+func TestRequests(t *testing.T) {
+	_, cfg := start(t, 100)
+	got := say(t, cfg.Bind, "POST /a HTTP/1.1\r\nContent-Le", "ngth: 3\r\nConnection: close\r\n\r\na", "bc")
+	if !strings.HasPrefix(got, "HTTP/1.1 200 OK") || !strings.HasSuffix(got, "POST /a abc") {
+		t.Errorf("in parts: %q", got)
+	}
+	// Two requests at once are not asked of us, but must not confuse us.
+	got = say(t, cfg.Bind, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n")
+	if strings.Count(got, "200 OK") != 2 || !strings.HasSuffix(got, "GET /2 ") {
+		t.Errorf("two at once: %q", got)
+	}
+	for _, bad := range []string{"nonsense\r\n\r\n", "GET /a HTTP/1.1\r\n" + strings.Repeat("x: "+strings.Repeat("y", 100)+"\r\n", 400) + "\r\n",
+		"POST /a HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"} {
+		if got := say(t, cfg.Bind, bad); !strings.HasPrefix(got, "HTTP/1.1 400") {
+			t.Errorf("%.30q: %q", bad, got)
+		}
+	}
+}
+
+func TestConnectionCap(t *testing.T) {
+	_, cfg := start(t, 20)
+	var open []net.Conn
+	refused := 0
+	for range 20 {
+		c, err := net.Dial("tcp", cfg.Bind)
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, c)
+		_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+			refused++
+		}
+	}
+	if refused != 5 {
+		t.Errorf("%d of 20 were refused, a quarter of the sockets is to stay free", refused)
+	}
+	for _, c := range open {
+		c.Close()
+	}
+}
+
+func TestPeerPort(t *testing.T) {
+	e, cfg := start(t, 100)
+	if got := say(t, cfg.PeerBind, "\xff\xff\xff\xffgarbage"); got != "" {
+		t.Errorf("garbage was answered with %q", got)
+	}
+	c, err := net.Dial("tcp", cfg.PeerBind)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	frame := append(binary.BigEndian.AppendUint32(nil, 3), "abc"...)
+	_, _ = c.Write(frame[:5])
+	time.Sleep(5 * time.Millisecond)
+	_, _ = c.Write(append(frame[5:], frame...))
+	for range 500 {
+		e.mu.Lock()
+		n := len(e.frames)
+		e.mu.Unlock()
+		if n == 2 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("two frames did not arrive")
+}
+
+// TestCalls: whatever the other side does, a call ends exactly once.
+func TestCalls(t *testing.T) {
+	e, _ := start(t, 100)
+	serve := func(answer string) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					r, err := http.ReadRequest(bufio.NewReader(c))
+					if err == nil {
+						_ = r.Body.Close()
+						_, _ = io.WriteString(c, answer)
+					}
+					if !strings.HasPrefix(answer, "HTTP/1.1 200") {
+						_ = c.Close()
+					}
+				}()
+			}
+		}()
+		return l.Addr().String()
+	}
+	for _, c := range []struct {
+		addr   string
+		status int
+		body   string
+	}{
+		{serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"), 200, "{}"},
+		{serve("not http at all\r\n\r\n"), 0, ""},
+		{serve("HTTP/1.1 2"), 0, ""},
+		{serve(""), 0, ""},
+		{freeAddr(t), 0, ""}, // refused
+	} {
+		e.mu.Lock()
+		e.calls = []string{c.addr}
+		e.mu.Unlock()
+		select {
+		case d := <-e.done:
+			if d.Status != c.status || string(d.Body) != c.body {
+				t.Errorf("%d %q, not %d %q", d.Status, d.Body, c.status, c.body)
+			}
+		case <-time.After(20 * time.Second):
+			t.Error("a call never ended")
+		}
+	}
+	if len(e.done) != 0 {
+		t.Error("a call ended twice")
+	}
+}
+
+// TestLimits keeps the limits of the parser and the engine in line.
+func TestLimits(t *testing.T) {
+	if maxUnsent <= httpwire.MaxBody || maxFrame <= httpwire.MaxBody {
+		t.Error("a whole report must fit a frame and the unsent bound")
+	}
+}
