--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -306,7 +306,7 @@
 	ph := phases[s.Phase]
 	if ph >= pipeline.Waiting && ph < pipeline.Exited && e.Started == 0 {
 		e.Started = int64(now)
-		f.log.Debug("started", "job", j.ID, "task", e.Task, "try", e.Try, "host", h.Name, "since_placed", now-time.Duration(e.Placed), "since_seen", now-time.Duration(j.FirstSeen))
+		f.log.Debug("started", "job", j.ID, "class", f.Names.Classes.Name(j.Class), "task", e.Task, "try", e.Try, "host", h.Name, "since_placed", now-time.Duration(e.Placed), "since_seen", now-time.Duration(j.FirstSeen))
 	}
 	e.Seen = ph
 	if ph >= pipeline.Waiting {
