--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -188,7 +188,7 @@
 		n.leading = true
 		n.jobs.Forget()
 		n.fleet.Forget()
-		n.rental.Begin(now)
+		n.rental.Begin(now, n.lead.Fence())
 		n.blocked, n.rooms = nil, nil
 		n.heardAny = now
 		n.share()
@@ -416,7 +416,7 @@
 
 // report takes a report as leader.
 func (n *Node) report(now step.Time, from caller, rep *fleet.Report, out *step.Out) {
-	if !n.fleet.Take(rep, now, n.lead) {
+	if n.rental.Returned(rep.Host) || !n.fleet.Take(rep, now, n.lead) {
 		n.respond(from, 503, nil, out)
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,8 +61,6 @@
 
 	// Silent is how long a machine may be quiet before that tells something.
 	Silent step.Time
-	// OnDone hears of every completion, nil: nobody does.
-	OnDone func(j *pipeline.Job, e *pipeline.Entry, now step.Time)
 }
 
 // New returns an empty fleet.
@@ -324,9 +322,6 @@
 	case "done":
 		clear(h.Errors)
 		j.Errors = 0
-		if f.OnDone != nil && e.Wish != pipeline.MarkDone {
-			f.OnDone(j, e, now)
-		}
 		if j.Shape == pipeline.Gang {
 			// They complete together: when one task is done, all are.
 			for t := 0; t < j.N; t++ {
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -83,6 +83,19 @@
 	return h, nil
 }
 
+// body returns the body that follows the head, by its Content-Length, and the
+// size of the whole message.
+func (h *head) body(in []byte, most int) (body []byte, n int, err error) {
+	if h.length > most {
+		return nil, 0, ErrTooLarge
+	}
+	n = h.size + max(h.length, 0)
+	if len(in) < n {
+		return nil, 0, ErrIncomplete
+	}
+	return in[h.size:n], n, nil
+}
+
 func equalFold(b []byte, s string) bool {
 	return len(b) == len(s) && bytes.EqualFold(b, []byte(s))
 }
@@ -103,15 +116,9 @@
 		return m, 0, ErrMalformed
 	}
 	m.Method, m.Target, m.Close = string(parts[0]), string(parts[1]), h.close
-	if h.length > MaxBody {
-		return m, 0, ErrTooLarge
-	}
-	n := h.size + max(h.length, 0)
-	if len(in) < n {
-		return m, 0, ErrIncomplete
-	}
-	m.Body = in[h.size:n]
-	return m, n, nil
+	body, n, err := h.body(in, MaxBody)
+	m.Body = body
+	return m, n, err
 }
 
 // ParseResponse reads one response from the start of in. maxBody bounds its
@@ -139,15 +146,9 @@
 		m.Body = body
 		return m, h.size + n, nil
 	}
-	if h.length > maxBody {
-		return m, 0, ErrTooLarge
-	}
-	n := h.size + max(h.length, 0)
-	if len(in) < n {
-		return m, 0, ErrIncomplete
-	}
-	m.Body = in[h.size:n]
-	return m, n, nil
+	body, n, err := h.body(in, maxBody)
+	m.Body = body
+	return m, n, err
 }
 
 func parseChunks(in []byte, maxBody int) (body []byte, n int, err error) {
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -99,6 +99,9 @@
 	since     step.Time
 	again     []retry // hires to repeat
 
+	planFrom step.Time // plans need a list that was asked for after this
+	mayPlan  bool
+
 	// Replan is set when an answer calls for another plan at once.
 	Replan bool
 }
@@ -117,11 +120,27 @@
 	r.returning, r.logging, r.returned = map[string]bool{}, map[string]bool{}, map[string]step.Time{}
 	r.typesAt, r.listAt, r.listing = -typesEvery, -listEvery, false
 	clear(r.calls)
-	r.again = nil
+	r.again, r.mayPlan = nil, false
 }
 
 // Begin starts a term.
-func (r *Rental) Begin(now step.Time) { r.Forget(); r.since, r.serial = now, 0 }
+func (r *Rental) Begin(now step.Time, fence uint64) {
+	r.Forget()
+	r.since, r.serial = now, 0
+	// What a leader before us rented last is not on the list yet: renting by
+	// an older list would rent it twice.
+	r.planFrom = now
+	if fence > 1 {
+		r.planFrom += r.cfg.ListLag
+	}
+}
+
+// Returned tells whether the cloud has taken a machine back from us: a report
+// of it that comes now was written before.
+func (r *Rental) Returned(host string) bool {
+	_, ok := r.returned[host]
+	return ok
+}
 
 // Listen takes a change of the replica.
 func (r *Rental) Listen(kind, rest string, data []byte, stamp uint64) {
@@ -385,6 +404,7 @@
 // list reads the machine list: it shows machines that nobody expects.
 func (r *Rental) list(now step.Time, from string, out *step.Out) {
 	r.listing, r.listAt = true, now
+	asked := now
 	path := fmt.Sprintf("/rentals?limit=%d", listLimit)
 	if from != "" {
 		path += "&from=" + from
@@ -403,6 +423,8 @@
 		}
 		if v.More && len(v.Hosts) > 0 {
 			r.list(now, v.Hosts[len(v.Hosts)-1].Name, out)
+		} else if asked >= r.planFrom {
+			r.mayPlan = true
 		}
 	})
 }
@@ -435,6 +457,12 @@
 // was stopped needs room again, and machines that are booting are filled in
 // thought. What is left is bought where a task costs least.
 func (r *Rental) Plan(now step.Time, blocked []*pipeline.Job, p *place.Placer, term uint64, out *step.Out) {
+	if !r.mayPlan {
+		if now >= r.planFrom && !r.listing {
+			r.listAt = now - listEvery
+		}
+		return
+	}
 	rooms, leaving := p.RoomsAhead(now)
 	again := map[*pipeline.Job]int{}
 	for _, e := range leaving {
