--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,6 +27,7 @@
 	beatLost   = 2 * time.Second // a peer not heard for this long is taken to be away
 	planEvery  = time.Second
 	roundIdle  = 2 * time.Second // a round without a change, for what time brings
+	fleetEvery = 50 * time.Millisecond
 	packEvery  = 2 * time.Second
 	cleanEvery = time.Second
 	cleanJobs  = 2
@@ -92,6 +93,7 @@
 	roundAt   step.Time
 	planAt    step.Time
 	packAt    step.Time
+	fleetAt   step.Time
 	cleanAt   step.Time
 	heardAny  step.Time // a worker's report, as leader
 	blocked   []*pipeline.Job
@@ -227,7 +229,10 @@
 
 // act is the leader's work.
 func (n *Node) act(now step.Time, out *step.Out) {
-	n.fleet.Tick(now, n.lead, out)
+	if now-n.fleetAt >= fleetEvery {
+		n.fleetAt = now
+		n.fleet.Tick(now, n.lead, out)
+	}
 	n.drain(now)
 	n.rental.Tick(now, n.lead.Cond(), n.silent(), out)
 	since := now - n.roundAt
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -483,14 +483,15 @@
 	if h.Heard == 0 || h.Addr == "" || now-h.direct < directEvery {
 		return
 	}
+	// Most of the time nothing is to be stopped: only then is there a list to
+	// sort. This runs for every machine at every step.
 	var orders []Order
-	for _, e := range f.sorted(h) {
-		if e.Durable && e.Wish == pipeline.Keep && e.Seen != pipeline.Unseen && e.Seen < pipeline.Saving {
-			if stop, wind := f.mustStop(e); stop {
-				orders = append(orders, Order{Verb: "stop", Shard: shardName(e), Try: e.Try, Wind: &wind})
-			}
+	for e := range f.Jobs.OnHost(h.Index) {
+		if stop, wind := f.mustStop(e); stop && e.Durable && e.Wish == pipeline.Keep && e.Seen != pipeline.Unseen && e.Seen < pipeline.Saving {
+			orders = append(orders, Order{Verb: "stop", Shard: shardName(e), Try: e.Try, Wind: &wind})
 		}
 	}
+	sort.Slice(orders, func(a, b int) bool { return orders[a].Shard < orders[b].Shard })
 	if len(orders) == 0 {
 		return
 	}
