Slow machines are recognised and shunned; faults are kept by job name

Cause: a machine several times slower than its like was used as any other. Jobs failing on a machine were noted by an index that serves another job later; both now use names. Scenario slow fails without it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,12 +41,14 @@
 	RecallAt step.Time // 0: no notice
 	Since    step.Time // when we first knew of it
 
-	Stray    int // tasks on it that no entry explains
-	Images   map[int]bool
-	Refused  step.Time // full or in_use: not to be used before
-	Errors   map[int]bool
-	Retiring bool // logged as retired: no task may be placed
-	Draining bool // its tasks were told to move: to be returned when empty
+	Stray   int // tasks on it that no entry explains
+	Images  map[int]bool
+	Refused step.Time // full or in_use: not to be used before
+	// Jobs by name: an index serves another job once one is forgotten.
+	Errors   map[string]bool
+	Slow     map[string]bool // jobs in a row that ran far longer here than their class does
+	Retiring bool            // logged as retired: no task may be placed
+	Draining bool            // its tasks were told to move: to be returned when empty
 	IdleFrom step.Time
 	direct   step.Time
 }
@@ -58,6 +60,7 @@
 	Hosts []*Host // by index, nil if gone
 	log   *slog.Logger
 	addr  map[uint64]bool // direct calls in flight
+	ratio map[int]float64 // run time against estimate, per class
 
 	// Silent is how long a machine may be quiet before that tells something.
 	Silent step.Time
@@ -65,7 +68,7 @@
 
 // New returns an empty fleet.
 func New(n *pipeline.Names, t *pipeline.Table, log *slog.Logger) *Fleet {
-	return &Fleet{Names: n, Jobs: t, log: log, addr: map[uint64]bool{}}
+	return &Fleet{Names: n, Jobs: t, log: log, addr: map[uint64]bool{}, ratio: map[int]float64{}}
 }
 
 // Host returns a machine by name, adding it when new.
@@ -93,11 +96,17 @@
 
 // Up tells whether a machine can take tasks now.
 func (h *Host) Up(now step.Time, silent time.Duration) bool {
-	return h.Known && h.Heard > 0 && now-h.Heard < silent && !h.Retiring && !h.Draining && h.RecallAt == 0 && h.Stray == 0 && now >= h.Refused && len(h.Errors) < faultyJobs
+	return h.Known && h.Heard > 0 && now-h.Heard < silent && !h.Retiring && !h.Draining && h.RecallAt == 0 && h.Stray == 0 && now >= h.Refused && len(h.Errors) < faultyJobs && len(h.Slow) < slowJobs
 }
 
 const (
-	faultyJobs   = 2 // so many different jobs failing on a machine make it faulty
+	// A machine on which this many jobs in a row took slowTimes what their class
+	// takes, by their owners' estimates, gets nothing more. One job says little:
+	// estimates are often wrong by half.
+	slowJobs     = 3
+	slowTimes    = 1.8
+	ratioWeight  = 0.1 // of a new completion in a class's ratio of run time to estimate
+	faultyJobs   = 2   // so many different jobs failing on a machine make it faulty
 	refusedPause = 4 * time.Second
 	directEvery  = time.Second
 	directWait   = 3 * time.Second
@@ -322,6 +331,9 @@
 	case "done":
 		clear(h.Errors)
 		j.Errors = 0
+		if e.Wish == pipeline.Keep {
+			f.timed(h, e, now)
+		}
 		if j.Shape == pipeline.Gang {
 			// They complete together: when one task is done, all are.
 			for t := 0; t < j.N; t++ {
@@ -346,6 +358,31 @@
 	f.Jobs.Clear(e)
 }
 
+// timed learns from a completion how long a class runs, measured in its
+// owners' estimates, and whether a machine is slow.
+func (f *Fleet) timed(h *Host, e *pipeline.Entry, now step.Time) {
+	j := e.Job
+	if j.Expect <= 0 || e.Started == 0 {
+		return
+	}
+	took := time.Duration(int64(now)-e.Started).Seconds() / j.Expect
+	usual, known := f.ratio[j.Class]
+	if !known {
+		usual = 1
+	}
+	if took > slowTimes*usual {
+		if h.Slow == nil {
+			h.Slow = map[string]bool{}
+		}
+		if h.Slow[j.ID] = true; len(h.Slow) == slowJobs {
+			f.log.Info("machine is slow", "host", h.Name)
+		}
+	} else {
+		clear(h.Slow)
+	}
+	f.ratio[j.Class] = usual + ratioWeight*(took-usual)
+}
+
 // failed sorts out whether the machine or the job is at fault.
 func (f *Fleet) failed(h *Host, j *pipeline.Job, now step.Time) {
 	f.log.Info("task failed", "job", j.ID, "host", h.Name)
@@ -354,16 +391,16 @@
 	}
 	j.BadHosts[h.Index] = true
 	if h.Errors == nil {
-		h.Errors = map[int]bool{}
+		h.Errors = map[string]bool{}
 	}
-	h.Errors[j.Index] = true
+	h.Errors[j.ID] = true
 	if len(j.BadHosts) >= faultyHosts {
 		// The job fails everywhere: its user may still cancel it, nobody
 		// else may end it, so it is tried again ever more rarely. The
 		// machines are not to blame.
 		for b := range j.BadHosts {
 			if o := f.At(b); o != nil {
-				delete(o.Errors, j.Index)
+				delete(o.Errors, j.ID)
 			}
 		}
 		j.BadHosts = nil
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -244,7 +244,7 @@
 		w.loss, w.late = a.num("loss", "0"), a.num("late", "0")
 	case "pages":
 		w.pageLimit = int(a.num("limit", "1000"))
-	case "die", "hang", "recall", "taken":
+	case "die", "hang", "recall", "taken", "slow":
 		k := w.hostOf(a["shard"])
 		if k == nil {
 			return "not on a machine"
@@ -252,6 +252,8 @@
 		switch cmd {
 		case "die":
 			k.die()
+		case "slow":
+			k.slow = a.num("times", "4")
 		case "taken":
 			w.cloud.remove(k.name)
 		case "hang":
@@ -282,6 +284,21 @@
 		return strings.Join(names, " ")
 	case "keys":
 		return strings.Join(w.Keys(a["prefix"]), "\n")
+	case "hosts":
+		names := map[string]bool{}
+		for _, t := range w.check.onMachines() {
+			if t.job.id == a["id"] {
+				names[t.on.name] = true
+			}
+		}
+		return fmt.Sprintf("%d of them slow: %d", len(names), func() (n int) {
+			for _, k := range w.workers {
+				if names[k.name] && k.slow > 0 {
+					n++
+				}
+			}
+			return
+		}())
 	case "starts":
 		return strconv.Itoa(w.check.starts)
 	case "rules":
--- a/internal/simtest/worker.go
+++ b/internal/simtest/worker.go
@@ -15,6 +15,7 @@
 	flavor, zone       string
 	spot               bool
 	up, hung           bool
+	slow               float64 // run times are multiplied by this, 0: by 1
 	tenure, tick       uint64
 	fence              uint64
 	recallAt           time.Duration
@@ -301,7 +302,11 @@
 		default:
 			t.phase, t.begun = "running", k.w.now
 			if j.shape == "array" {
-				k.w.later(t, j.run-j.progress[index], func() {
+				left := j.run - j.progress[index]
+				if k.slow > 0 {
+					left = time.Duration(float64(left) * k.slow)
+				}
+				k.w.later(t, left, func() {
 					j.complete[index] = true
 					k.exit(t, "done", false)
 				})
