--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,7 +59,7 @@
 	Jobs  *pipeline.Table
 	Hosts []*Host // by index, nil if gone
 	log   *slog.Logger
-	addr  map[uint64]bool // direct calls in flight
+	calls map[uint64]bool // direct commands in flight
 	ratio map[int]float64 // run time against estimate, per class
 
 	// Silent is how long a machine may be quiet before that tells something.
@@ -68,7 +68,7 @@
 
 // New returns an empty fleet.
 func New(n *pipeline.Names, t *pipeline.Table, log *slog.Logger) *Fleet {
-	return &Fleet{Names: n, Jobs: t, log: log, addr: map[uint64]bool{}, ratio: map[int]float64{}}
+	return &Fleet{Names: n, Jobs: t, log: log, calls: map[uint64]bool{}, ratio: map[int]float64{}}
 }
 
 // Host returns a machine by name, adding it when new.
@@ -169,7 +169,7 @@
 	return s[:i], n, err == nil && n >= 0
 }
 
-// Name is a task's name.
+// shardName is a task's name.
 func shardName(e *pipeline.Entry) string { return e.Job.ID + "/" + strconv.Itoa(e.Task) }
 
 var phases = map[string]pipeline.TaskPhase{"pulling": pipeline.Pulling, "waiting": pipeline.Waiting,
@@ -538,15 +538,15 @@
 		Tenure uint64  `json:"tenure"`
 		Orders []Order `json:"orders"`
 	}{term.Fence(), h.Tenure, orders})
-	f.addr[out.Call(h.Addr, "POST", "/do", body, directWait)] = true
+	f.calls[out.Call(h.Addr, "POST", "/do", body, directWait)] = true
 }
 
 // CallDone takes the outcome of a direct command: the worker's next report
 // tells what became of it.
 func (f *Fleet) CallDone(d step.CallDone) bool {
-	if !f.addr[d.ID] {
+	if !f.calls[d.ID] {
 		return false
 	}
-	delete(f.addr, d.ID)
+	delete(f.calls, d.ID)
 	return true
 }
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -163,7 +163,7 @@
 	retryAt int64
 }
 
-// Done counts tasks that are marked done.
+// DoneCount counts tasks that are marked done.
 func (j *Job) DoneCount() int {
 	if j.Final == Done {
 		return j.N
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -441,14 +441,11 @@
 	t.Changed = true
 }
 
-// keys
-func jobKey(id string) string        { return JobKey + "/" + id }
-func finalKey(id string) string      { return FinalKey + "/" + id }
-func runKey(id string, c int) string { return RunKey + "/" + id + "/" + strconv.Itoa(c) }
+// JobKeyOf and FinalKeyOf name a job's keys.
+func JobKeyOf(id string) string   { return JobKey + "/" + id }
+func FinalKeyOf(id string) string { return FinalKey + "/" + id }
 
-// JobKeyOf and FinalKeyOf name a job's keys for other slices.
-func JobKeyOf(id string) string   { return jobKey(id) }
-func FinalKeyOf(id string) string { return finalKey(id) }
+func runKey(id string, c int) string { return RunKey + "/" + id + "/" + strconv.Itoa(c) }
 
 const (
 	writeFor  = 20 * time.Second // a wish waits this long for the write rate
@@ -522,8 +519,8 @@
 		}
 	}
 	in := &store.Intent{Priority: store.Progress,
-		Conds:  []store.Cond{term, {Key: jobKey(j.ID), Stamp: j.Stamp}, {Key: finalKey(j.ID)}},
-		Writes: []store.Write{{Key: finalKey(j.ID), Data: EncodeFinal(Done, j.N)}, {Key: jobKey(j.ID)}}}
+		Conds:  []store.Cond{term, {Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}},
+		Writes: []store.Write{{Key: FinalKeyOf(j.ID), Data: EncodeFinal(Done, j.N)}, {Key: JobKeyOf(j.ID)}}}
 	if len(j.Chunk)+len(in.Writes) <= t.txnOps {
 		for c := range j.Chunk {
 			in.Conds = append(in.Conds, store.Cond{Key: runKey(j.ID, c), Stamp: j.Chunk[c].Stamp})
@@ -574,7 +571,7 @@
 		in.Priority = store.Place
 	}
 	if j.Final == Queued {
-		in.Conds = append(in.Conds, store.Cond{Key: finalKey(j.ID)})
+		in.Conds = append(in.Conds, store.Cond{Key: FinalKeyOf(j.ID)})
 	}
 	if j.Final != Queued && len(active) == 0 {
 		if ch.Stamp == 0 {
@@ -618,8 +615,8 @@
 			}
 		}
 		if j.Stamp != 0 {
-			in.Conds = append(in.Conds, store.Cond{Key: jobKey(j.ID), Stamp: j.Stamp})
-			in.Writes = append(in.Writes, store.Write{Key: jobKey(j.ID)})
+			in.Conds = append(in.Conds, store.Cond{Key: JobKeyOf(j.ID), Stamp: j.Stamp})
+			in.Writes = append(in.Writes, store.Write{Key: JobKeyOf(j.ID)})
 		}
 		if len(in.Writes) == 0 {
 			continue
@@ -640,8 +637,8 @@
 	ready := *j
 	ready.Ready = true
 	s.Submit(&store.Intent{Priority: store.Place,
-		Conds:  []store.Cond{{Key: jobKey(j.ID), Stamp: j.Stamp}, {Key: finalKey(j.ID)}},
-		Writes: []store.Write{{Key: jobKey(j.ID), Data: Encode(t.Names, &ready)}},
+		Conds:  []store.Cond{{Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}},
+		Writes: []store.Write{{Key: JobKeyOf(j.ID), Data: Encode(t.Names, &ready)}},
 		Done: func(r store.Result) {
 			j.marking = false
 			if r.Outcome == store.OK {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -591,8 +591,8 @@
 	}
 }
 
-// Key parts must not hold spaces; ours never do. SplitKey cuts the first
-// segment off a key.
+// SplitKey cuts the first segment off a key; it names the slice that the key
+// belongs to.
 func SplitKey(key string) (kind, rest string) {
 	kind, rest, _ = strings.Cut(key, "/")
 	return kind, rest
