--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -212,12 +212,7 @@
 
 // anyWorkers tells whether there are workers that ought to report.
 func (n *Node) anyWorkers() bool {
-	for _, p := range n.peers {
-		if n.present(p) && p.beat.Heard > 0 {
-			return true
-		}
-	}
-	used := false
+	used := n.rental.Unheard()
 	n.jobs.HostsInUse(func(int) { used = true })
 	for _, h := range n.fleet.Hosts {
 		used = used || (h != nil && h.Heard > 0)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,7 +28,6 @@
 	StateOK bool
 	Leads   bool
 	Fence   uint64
-	Heard   uint32 // workers heard lately
 
 	// Relay, RelayAck
 	ID     uint64
@@ -42,7 +41,7 @@
 // Append writes the frame to dst.
 //
 //	version u8 | kind u8 | label: len u8, bytes | body
-//	Beat:     flags u8 | fence u64 | heard u32
+//	Beat:     flags u8 | fence u64
 //	Relay:    id u64 | bytes: len u32, bytes
 //	RelayAck: id u64 | status u16 | bytes: len u32, bytes
 func Append(dst []byte, f *Frame) []byte {
@@ -59,7 +58,6 @@
 		}
 		dst = append(dst, flags)
 		dst = binary.BigEndian.AppendUint64(dst, f.Fence)
-		dst = binary.BigEndian.AppendUint32(dst, f.Heard)
 	case Relay, RelayAck:
 		dst = binary.BigEndian.AppendUint64(dst, f.ID)
 		if f.Kind == RelayAck {
@@ -88,7 +86,6 @@
 			return f, ErrBad
 		}
 		f.Fence = r.u64()
-		f.Heard = r.u32()
 	case Relay, RelayAck:
 		f.ID = r.u64()
 		if f.Kind == RelayAck {
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -67,6 +67,7 @@
 type booting struct {
 	offer
 	since step.Time
+	up    bool // by the list, though silent to us
 }
 
 // Rental is the slice.
@@ -135,6 +136,16 @@
 	}
 }
 
+// Unheard tells whether a machine is up by the list that does not report to us.
+func (r *Rental) Unheard() bool {
+	for _, b := range r.boots {
+		if b.up {
+			return true
+		}
+	}
+	return false
+}
+
 // Returned tells whether the cloud has taken a machine back from us: a report
 // of it that comes now was written before.
 func (r *Rental) Returned(host string) bool {
@@ -274,7 +285,14 @@
 			continue
 		}
 		f := r.Flavors.Get(b.flavor)
-		if f != nil && now-b.since > max(bootLeast, time.Duration(bootTimes*f.Ready*float64(time.Second))) {
+		wait := bootLeast
+		if f != nil && !b.up {
+			wait = max(bootLeast, time.Duration(bootTimes*f.Ready*float64(time.Second)))
+		} else if len(r.jobs.OnHost(i)) > 0 {
+			// Perhaps it works behind a cut; its lease tells when not.
+			wait = silentLost
+		}
+		if f != nil && now-b.since > wait {
 			r.log.Info("machine never came up", "host", h.Name)
 			delete(r.boots, i)
 			r.Retire(h, now, term)
@@ -444,11 +462,11 @@
 	case w.Phase == "failed":
 		h.Retiring = true // logged and returned by the next tick
 	case w.Phase == "booting" && h.Heard == 0 && r.boots[h.Index] == nil:
-		r.boots[h.Index] = &booting{offer{h.Flavor, h.Zone, h.Spot}, now - time.Duration(w.Held*float64(time.Second))}
-	case w.Phase == "running" && h.Heard == 0 && r.boots[h.Index] == nil:
+		r.boots[h.Index] = &booting{offer{h.Flavor, h.Zone, h.Spot}, now - time.Duration(w.Held*float64(time.Second)), false}
+	case w.Phase == "running" && h.Heard == 0 && (r.boots[h.Index] == nil || !r.boots[h.Index].up):
 		// Up by the list, silent to us: it counts as booting until it
 		// reports or is given up.
-		r.boots[h.Index] = &booting{offer{h.Flavor, h.Zone, h.Spot}, now}
+		r.boots[h.Index] = &booting{offer{h.Flavor, h.Zone, h.Spot}, now, true}
 	}
 }
 
@@ -664,7 +682,7 @@
 				h := r.fleet.Host(name, now)
 				if h.Heard == 0 {
 					h.Flavor, h.Zone, h.Spot, h.Known = o.flavor, o.zone, o.spot, true
-					r.boots[h.Index] = &booting{o, now}
+					r.boots[h.Index] = &booting{o, now, false}
 				}
 			}
 			if len(v.Hosts) < n {
