--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -67,7 +67,8 @@
 type booting struct {
 	offer
 	since step.Time
-	up    bool // by the list, though silent to us
+	up    bool      // by the list, though silent to us
+	idle  step.Time // since when no task is planned for it, 0: one is
 }
 
 // Rental is the slice.
@@ -462,11 +463,11 @@
 	case w.Phase == "failed":
 		h.Retiring = true // logged and returned by the next tick
 	case w.Phase == "booting" && h.Heard == 0 && r.boots[h.Index] == nil:
-		r.boots[h.Index] = &booting{offer{h.Flavor, h.Zone, h.Spot}, now - time.Duration(w.Held*float64(time.Second)), false}
+		r.boots[h.Index] = &booting{offer: offer{h.Flavor, h.Zone, h.Spot}, since: now - time.Duration(w.Held*float64(time.Second))}
 	case w.Phase == "running" && h.Heard == 0 && (r.boots[h.Index] == nil || !r.boots[h.Index].up):
 		// Up by the list, silent to us: it counts as booting until it
 		// reports or is given up.
-		r.boots[h.Index] = &booting{offer{h.Flavor, h.Zone, h.Spot}, now, true}
+		r.boots[h.Index] = &booting{offer: offer{h.Flavor, h.Zone, h.Spot}, since: now, up: true}
 	}
 }
 
@@ -488,9 +489,12 @@
 			blocked = append(blocked, e.Job)
 		}
 	}
+	coming := map[int]*place.Room{}
 	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
-		if h, b := r.fleet.At(i), r.boots[i]; h != nil && !h.Retiring && h.Heard == 0 {
-			rooms = append(rooms, r.room(b.offer))
+		if h := r.fleet.At(i); h != nil && !h.Retiring && h.Heard == 0 {
+			if coming[i] = r.room(r.boots[i].offer); coming[i] != nil {
+				rooms = append(rooms, coming[i])
+			}
 		}
 	}
 	for _, o := range sortedOffers(r.hiring) {
@@ -543,6 +547,17 @@
 			left -= n
 		}
 	}
+	for i, room := range coming {
+		// What it was rented for may be done or have found room elsewhere.
+		switch b := r.boots[i]; {
+		case room == nil || room.Busy:
+			b.idle = 0
+		case b.idle == 0:
+			b.idle = now
+		case now-b.idle > 2*r.cfg.IdleKeep && len(r.jobs.OnHost(i)) == 0:
+			r.fleet.At(i).Retiring = true // logged and returned by the next tick
+		}
+	}
 	for _, o := range sortedOffers(need) {
 		if !r.allowed(now) {
 			return
@@ -682,7 +697,7 @@
 				h := r.fleet.Host(name, now)
 				if h.Heard == 0 {
 					h.Flavor, h.Zone, h.Spot, h.Known = o.flavor, o.zone, o.spot, true
-					r.boots[h.Index] = &booting{o, now, false}
+					r.boots[h.Index] = &booting{offer: o, since: now}
 				}
 			}
 			if len(v.Hosts) < n {
