--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,7 +39,6 @@
 	Answered step.Time
 	Back     step.Time // when it was last heard again after it had been silent
 	RecallAt step.Time // 0: no notice
-	Since    step.Time // when we first knew of it
 
 	Stray   int // tasks on it that no entry explains
 	Images  map[int]bool
@@ -78,7 +77,7 @@
 		f.Hosts = append(f.Hosts, nil)
 	}
 	if f.Hosts[i] == nil {
-		f.Hosts[i] = &Host{Index: i, Name: name, Flavor: -1, Zone: -1, Since: now, Images: map[int]bool{}, IdleFrom: now}
+		f.Hosts[i] = &Host{Index: i, Name: name, Flavor: -1, Zone: -1, Images: map[int]bool{}, IdleFrom: now}
 	}
 	return f.Hosts[i]
 }
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -133,9 +133,6 @@
 	return now < l.validTo || (now < l.validTo-l.cfg.Life+l.cfg.Grace && l.highest <= l.fence)
 }
 
-// Since is when our term began.
-func (l *Lead) Since() step.Time { return l.since }
-
 // SilentProof is when the tasks on a machine are surely gone that nobody has
 // answered since the given time: its own lease has run out, counted from our
 // last answer or from the end of the grace of whoever held the term before.
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -65,9 +65,6 @@
 // Team returns what a team's tasks may be using.
 func (t *Table) Team(team int) Usage { return t.team[team] }
 
-// ChunkLen is the number of tasks one run record covers.
-func (t *Table) ChunkLen() int { return t.chunkLen }
-
 // Listen takes one change of the replica.
 func (t *Table) Listen(kind, rest string, data []byte, stamp uint64) {
 	switch kind {
