Rates of the state service dealt by demand; writes built when their turn comes

Now controllers tell each other what they could use and the rate is split max-min fairly; terms and cancellations go beyond the part and are owed. A run record is encoded when it is sent, so one write carries all that changed while it waited.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -40,9 +41,12 @@
 	backSoon  = 20 * time.Second
 	relayFor  = 45 * time.Second
 	relayWait = 3 * time.Second
-	// Rates: the leader writes most; the rest is for intake at the others.
-	leaderShare = 0.6
-	useRate     = 0.9 // what others still have in flight counts, too
+	// The state service's rates: everyone is sure of a part, the rest goes
+	// where it is asked for, to the leader before the others.
+	useRate      = 0.9  // what others still have in flight counts, too
+	sureRate     = 0.25 // dealt evenly whatever is asked for
+	wantMargin   = 1.3
+	leaderWeight = 3
 )
 
 type peerState struct {
@@ -130,7 +134,7 @@
 	n.placer = &place.Placer{Jobs: n.jobs, Fleet: n.fleet, Flavors: &n.rental.Flavors, Teams: teams, Report: config.Seconds(s.Workers.ReportS), Silent: n.silent()}
 	n.intake = intake.New(intake.Config{Label: cfg.Label, Teams: s.Teams, Answer: time.Duration(cfg.Operator.Intake.Answer),
 		ValueBytes: int(s.State.ValueKB * 1024)}, n.names, n.jobs, n.store, &n.rental.Flavors)
-	n.share()
+	n.share(0)
 	return n
 }
 
@@ -139,17 +143,33 @@
 	return config.Seconds(2.5*n.cfg.Settings.Workers.ReportS) + time.Second
 }
 
-// share sets our part of the state service's rates.
-func (n *Node) share() {
+// share sets our part of the state service's rates by what each controller
+// says it could use; one that we do not hear counts with its sure part.
+func (n *Node) share(now step.Time) {
 	s := n.cfg.Settings.State
-	part := 1.0
-	if others := len(n.cfg.Seeds); others > 0 {
-		part = (1 - leaderShare) / float64(others)
-		if n.leading {
-			part = leaderShare
+	requests, writes := n.store.Demand(now)
+	n.store.SetShare(n.split(s.RPS, requests, func(f *peer.Frame) uint16 { return f.Requests }),
+		n.split(s.WriteRPS, writes, func(f *peer.Frame) uint16 { return f.Writes }))
+}
+
+func (n *Node) split(rate, own float64, want func(f *peer.Frame) uint16) float64 {
+	sure := sureRate * rate / float64(len(n.peers)+1)
+	claim := func(want float64, leads bool) store.Claim {
+		c := store.Claim{Want: max(sure, wantMargin*want), Weight: 1}
+		if leads {
+			c.Weight = leaderWeight
+		}
+		return c
+	}
+	claims := []store.Claim{claim(own, n.leading)}
+	for _, p := range n.peers {
+		if n.present(p) {
+			claims = append(claims, claim(float64(want(&p.beat)), p.beat.Leads))
+		} else {
+			claims = append(claims, claim(0, false))
 		}
 	}
-	n.store.SetShare(s.RPS*part*useRate, s.WriteRPS*part*useRate)
+	return store.Split(rate*useRate, claims)[0]
 }
 
 func (n *Node) listen(key string, data []byte, stamp uint64) {
@@ -193,7 +213,7 @@
 		n.rental.Begin(now, n.lead.Fence())
 		n.blocked, n.rooms = nil, nil
 		n.heardAny = now
-		n.share()
+		n.share(now)
 	}
 	if n.leading && !n.lead.Holds() {
 		n.leading = false
@@ -201,7 +221,7 @@
 		n.fleet.Forget()
 		n.rental.Forget()
 		n.blocked, n.rooms = nil, nil
-		n.share()
+		n.share(now)
 	}
 	if n.leading && now-n.heardAny > deafAfter && n.anyWorkers() {
 		// Whoever can reach the workers shall have the term.
@@ -302,6 +322,9 @@
 	if n.leading {
 		f.Fence = n.lead.Fence()
 	}
+	n.share(now)
+	requests, writes := n.store.Demand(now)
+	f.Requests, f.Writes = uint16(min(requests, math.MaxUint16)), uint16(min(writes, math.MaxUint16))
 	data := peer.Append(nil, &f)
 	for i := range n.peers {
 		out.Send(i, data)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,7 +17,7 @@
 	RelayAck Kind = 3 // the leader's answer to it
 )
 
-const version = 1
+const version = 2
 
 // Frame is a decoded frame.
 type Frame struct {
@@ -28,6 +28,8 @@
 	StateOK bool
 	Leads   bool
 	Fence   uint64
+	// What it could use of the state service's rates, per second.
+	Requests, Writes uint16
 
 	// Relay, RelayAck
 	ID     uint64
@@ -41,7 +43,7 @@
 // Append writes the frame to dst.
 //
 //	version u8 | kind u8 | label: len u8, bytes | body
-//	Beat:     flags u8 | fence u64
+//	Beat:     flags u8 | fence u64 | requests u16 | writes u16
 //	Relay:    id u64 | bytes: len u32, bytes
 //	RelayAck: id u64 | status u16 | bytes: len u32, bytes
 func Append(dst []byte, f *Frame) []byte {
@@ -58,6 +60,8 @@
 		}
 		dst = append(dst, flags)
 		dst = binary.BigEndian.AppendUint64(dst, f.Fence)
+		dst = binary.BigEndian.AppendUint16(dst, f.Requests)
+		dst = binary.BigEndian.AppendUint16(dst, f.Writes)
 	case Relay, RelayAck:
 		dst = binary.BigEndian.AppendUint64(dst, f.ID)
 		if f.Kind == RelayAck {
@@ -86,6 +90,7 @@
 			return f, ErrBad
 		}
 		f.Fence = r.u64()
+		f.Requests, f.Writes = r.u16(), r.u16()
 	case Relay, RelayAck:
 		f.ID = r.u64()
 		if f.Kind == RelayAck {
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -158,8 +158,9 @@
 	Try     uint64 // highest attempt used
 	Done    []uint64
 	Entries map[int]*Entry
-	writing bool
+	queued  [2]bool // a write waits for its turn: of progress, of placements
 	dirty   bool
+	version int // counts the wishes, to tell what a write has carried
 	retryAt int64
 }
 
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -367,6 +367,7 @@
 
 func (t *Table) touch(j *Job, ch *Chunk) {
 	ch.dirty = true
+	ch.version++
 	t.dirty[j] = true
 }
 
@@ -475,7 +476,7 @@
 				continue
 			}
 			left = true
-			if !ch.writing && int64(now) >= ch.retryAt {
+			if int64(now) >= ch.retryAt {
 				t.write(j, c, now, term, s)
 			}
 		}
@@ -511,26 +512,33 @@
 		return false
 	}
 	for c := range j.Chunk {
-		if j.Chunk[c].writing || int64(now) < j.Chunk[c].retryAt {
-			return true // the stamps are about to change
+		if int64(now) < j.Chunk[c].retryAt {
+			return true // the replica does not show what was written last
 		}
 	}
-	in := &store.Intent{Priority: store.Progress,
-		Conds:  []store.Cond{term, {Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}},
-		Writes: []store.Write{{Key: FinalKeyOf(j.ID), Data: EncodeFinal(Done, j.N)}, {Key: JobKeyOf(j.ID)}}}
-	if len(j.Chunk)+len(in.Writes) <= t.txnOps {
-		for c := range j.Chunk {
-			in.Conds = append(in.Conds, store.Cond{Key: runKey(j.ID, c), Stamp: j.Chunk[c].Stamp})
-			if j.Chunk[c].Stamp != 0 {
-				in.Writes = append(in.Writes, store.Write{Key: runKey(j.ID, c)})
-			}
-		}
-	} else if j.done < j.N {
+	if j.done < j.N && !t.atOnce(j) {
 		// Too many records for one transaction: the done bits are stored
 		// first, the mark follows, and Clean drops the records.
 		return false
 	}
 	j.finishing = true
+	in := &store.Intent{Priority: store.Progress, Key: FinalKeyOf(j.ID)}
+	in.Build = func(in *store.Intent) bool {
+		if !j.complete() {
+			return false
+		}
+		in.Conds = []store.Cond{term, {Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}}
+		in.Writes = []store.Write{{Key: FinalKeyOf(j.ID), Data: EncodeFinal(Done, j.N)}, {Key: JobKeyOf(j.ID)}}
+		if t.atOnce(j) {
+			for c := range j.Chunk {
+				in.Conds = append(in.Conds, store.Cond{Key: runKey(j.ID, c), Stamp: j.Chunk[c].Stamp})
+				if j.Chunk[c].Stamp != 0 {
+					in.Writes = append(in.Writes, store.Write{Key: runKey(j.ID, c)})
+				}
+			}
+		}
+		return true
+	}
 	in.Done = func(r store.Result) {
 		j.finishing = false
 		if r.Outcome != store.OK {
@@ -543,17 +551,60 @@
 	return true
 }
 
+// atOnce tells whether a job's records can be dropped together with its mark.
+func (t *Table) atOnce(j *Job) bool { return len(j.Chunk)+2 <= t.txnOps }
+
+// write queues the write of a chunk. What it holds is decided when its turn
+// comes: a busy job's tasks share one write however many change meanwhile.
 func (t *Table) write(j *Job, c int, now time.Duration, term store.Cond, s Submitter) {
+	kind, priority := 0, store.Progress
+	for _, e := range j.Chunk[c].Entries {
+		if e.Wish == Keep && !e.Durable {
+			kind, priority = 1, store.Place
+		}
+	}
+	if j.Chunk[c].queued[kind] {
+		return
+	}
+	j.Chunk[c].queued[kind] = true
+	built := 0
+	in := &store.Intent{Priority: priority, Key: runKey(j.ID, c)}
+	in.Build = func(in *store.Intent) bool {
+		ch := &j.Chunk[c]
+		if !ch.dirty || j.finishing {
+			return false
+		}
+		built = ch.version
+		return t.build(in, j, c, term)
+	}
+	in.Done = func(r store.Result) {
+		ch := &j.Chunk[c]
+		ch.queued[kind] = false
+		switch {
+		case r.Outcome == store.OK:
+			if ch.version == built {
+				ch.dirty = false
+			}
+		case ch.dirty:
+			// The wish stands. If the write was carried out unseen, its
+			// retry conflicts until the replica shows it, then builds on it.
+			ch.retryAt = int64(r.Now) + retryWait
+			t.dirty[j] = true
+		}
+	}
+	s.Submit(in, now+writeFor)
+}
+
+// build fills in a write of a chunk as things stand.
+func (t *Table) build(in *store.Intent, j *Job, c int, term store.Cond) bool {
 	ch := &j.Chunk[c]
 	done := append([]uint64(nil), ch.Done...)
 	var active []*Entry
-	urgent := false
 	for _, e := range ch.Entries {
 		switch e.Wish {
 		case Keep:
 			active = append(active, e)
 			e.sent = true
-			urgent = urgent || !e.Durable
 		case MarkDone:
 			done[e.Task%t.chunkLen/64] |= 1 << (e.Task % t.chunkLen % 64)
 		}
@@ -563,35 +614,20 @@
 			done[task%t.chunkLen/64] |= 1 << (task % t.chunkLen % 64)
 		}
 	}
-	in := &store.Intent{Priority: store.Progress, Conds: []store.Cond{term, {Key: runKey(j.ID, c), Stamp: ch.Stamp}}}
-	if urgent {
-		in.Priority = store.Place
-	}
+	in.Conds = []store.Cond{term, {Key: runKey(j.ID, c), Stamp: ch.Stamp}}
 	if j.Final == Queued {
 		in.Conds = append(in.Conds, store.Cond{Key: FinalKeyOf(j.ID)})
 	}
 	if j.Final != Queued && len(active) == 0 {
 		if ch.Stamp == 0 {
 			ch.dirty = false
-			return
+			return false
 		}
 		in.Writes = []store.Write{{Key: runKey(j.ID, c)}}
 	} else {
 		in.Writes = []store.Write{{Key: runKey(j.ID, c), Data: encodeRun(t.Names, ch.Try, done, active)}}
 	}
-	ch.writing, ch.dirty = true, false
-	in.Done = func(r store.Result) {
-		ch := &j.Chunk[c]
-		ch.writing = false
-		if r.Outcome != store.OK {
-			// The wish stands. If the write was carried out unseen, its
-			// retry conflicts until the replica shows it, then builds on it.
-			ch.dirty = true
-			ch.retryAt = int64(r.Now) + retryWait
-			t.dirty[j] = true
-		}
-	}
-	s.Submit(in, now+writeFor)
+	return true
 }
 
 // Clean drops the records that finished jobs leave behind, once nothing of
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,11 +72,20 @@
 	Conds    []Cond
 	Writes   []Write
 	Done     func(r Result)
+	// Build, if set, fills in Conds and Writes when the intent's turn comes, so
+	// that one write carries all that changed while it waited. It may be called
+	// again for another try. False: there is nothing to write any more; Done is
+	// told Refused. Key is the key that it is about: it is not built while a
+	// write of that key is under way.
+	Build func(in *Intent) bool
+	Key   string
 
 	expires step.Time
 	tries   int
 }
 
+func (in *Intent) ops() int { return max(1, len(in.Writes)) }
+
 // Limits are the service's published limits and our part of the rates.
 type Limits struct {
 	TxnOps   int
@@ -98,6 +107,8 @@
 	refusedPause = 100 * time.Millisecond // after 429 or 503
 	staleAfter   = 3 * time.Second        // a replica this old is refreshed without being asked
 	reloadPause  = 300 * time.Millisecond
+	leastPause   = 150 * time.Millisecond // between two watches, and two barriers
+	followPart   = 0.6                    // of the requests, for watches and barriers
 )
 
 // Client is the state service as one controller sees it.
@@ -117,6 +128,7 @@
 	loadNext  step.Time
 
 	requests, writes bucket
+	asked, written   meter
 
 	queue    [priorities][]*Intent
 	inflight int
@@ -126,12 +138,12 @@
 	calls      map[uint64]func(now step.Time, status int, body []byte, out *step.Out)
 	watchOpen  bool
 	watchNext  step.Time
-	WatchEvery time.Duration // least time between two watches
+	watchEvery time.Duration // least time between two watches
 
 	barriers     []func(now step.Time, ok bool, out *step.Out)
 	barrierOpen  bool
 	barrierNext  step.Time
-	BarrierEvery time.Duration
+	barrierEvery time.Duration
 
 	fresh   step.Time // the replica held all changes up to then
 	contact step.Time // sending time of the last request that was executed
@@ -143,7 +155,7 @@
 	return &Client{addr: addr, limits: limits, listen: listen, stamps: map[string]uint64{}, tombs: map[string]uint64{},
 		busyKeys: map[string]bool{}, calls: map[uint64]func(step.Time, int, []byte, *step.Out){},
 		requests: newBucket(limits.RPS), writes: newBucket(limits.WriteRPS), contact: -time.Hour,
-		WatchEvery: 150 * time.Millisecond, BarrierEvery: 150 * time.Millisecond}
+		watchEvery: leastPause, barrierEvery: leastPause}
 }
 
 // Synced tells whether the replica was complete at some time.
@@ -162,9 +174,12 @@
 // Stamp returns the stamp of a key in the replica, 0 if absent.
 func (c *Client) Stamp(key string) uint64 { return c.stamps[key] }
 
-// SetShare changes this node's part of the rates.
+// SetShare changes this node's part of the rates. Watches and barriers are
+// paced so that they leave room for the rest.
 func (c *Client) SetShare(rps, writeRPS float64) {
 	c.requests.rate, c.writes.rate = rps, writeRPS
+	pause := max(leastPause, time.Duration(2/(followPart*rps)*float64(time.Second)))
+	c.watchEvery, c.barrierEvery = pause, pause
 }
 
 // Submit queues an intent. It is given up as Refused at the time expires.
@@ -207,6 +222,7 @@
 
 func (c *Client) call(method, path string, body []byte, timeout time.Duration, now step.Time, out *step.Out, f func(step.Time, int, []byte, *step.Out)) {
 	c.requests.take(now, 1)
+	c.asked.add(now, 1)
 	sent := now
 	c.calls[out.Call(c.addr, method, path, body, timeout)] = func(now step.Time, status int, body []byte, out *step.Out) {
 		if status != 0 && status != 503 && status != 429 {
@@ -379,7 +395,7 @@
 func (c *Client) watch(now step.Time, out *step.Out) {
 	c.watchOpen = true
 	sent := now
-	c.watchNext = now + c.WatchEvery
+	c.watchNext = now + c.watchEvery
 	path := fmt.Sprintf("/follow?starts=&from=%d&wait_ms=%d", c.epoch, watchWait.Milliseconds())
 	c.call("GET", path, nil, watchWait+watchSlack, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
 		c.watchOpen = false
@@ -403,7 +419,7 @@
 		return
 	}
 	list, sent := c.barriers, now
-	c.barriers, c.barrierOpen, c.barrierNext = nil, true, now+c.BarrierEvery
+	c.barriers, c.barrierOpen, c.barrierNext = nil, true, now+c.barrierEvery
 	path := fmt.Sprintf("/follow?starts=&from=%d&wait_ms=0", c.epoch)
 	c.call("GET", path, nil, callTimeout, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
 		c.barrierOpen = false
@@ -429,18 +445,39 @@
 	}
 }
 
+// pick takes what fits into one transaction. Terms and cancellations go beyond
+// our part of the rates, which is owed afterwards: where many nodes share a
+// small rate, a part may be less than the two writes that a term takes, and
+// nobody would ever lead.
 func (c *Client) pick(now step.Time) (batch []*Intent, ops int) {
-	if !c.requests.has(now, 1) {
-		return nil, 0
-	}
-	room := min(c.limits.TxnOps, c.writes.whole(now))
 	size, conds := 0, 0
 	taken := map[string]bool{}
+	requests, writes := c.requests.has(now, 1), c.writes.whole(now)
 	for p := range c.queue {
+		room := c.limits.TxnOps
+		if Priority(p) > Cancel {
+			room = min(room, writes)
+			if !requests {
+				break
+			}
+		}
 		list := c.queue[p]
 		kept := list[:0]
 		full := false
 		for _, in := range list {
+			if full || ops+in.ops() > room || (in.tries > 1 && len(batch) > 0) {
+				full = true
+				kept = append(kept, in)
+				continue
+			}
+			if in.Build != nil && c.busyKeys[in.Key] {
+				kept = append(kept, in)
+				continue
+			}
+			if in.Build != nil && !in.Build(in) {
+				in.Done(Result{Refused, 0, now, nil})
+				continue
+			}
 			bytes := 0
 			clash := false
 			for _, w := range in.Writes {
@@ -449,7 +486,7 @@
 			}
 			bytes += 120 * len(in.Conds)
 			// What failed in company goes alone the next time.
-			if clash || (in.tries > 1 && len(batch) > 0) || full || ops+len(in.Writes) > room || size+bytes > maxTxn || conds+len(in.Conds) > 4*c.limits.TxnOps {
+			if clash || ops+len(in.Writes) > room || size+bytes > maxTxn || conds+len(in.Conds) > 4*c.limits.TxnOps {
 				// Order within a priority is kept: a large intent is not
 				// starved by small ones behind it.
 				full = full || !clash
@@ -513,6 +550,7 @@
 		panic(err) // our own values are valid JSON
 	}
 	c.writes.take(now, float64(ops))
+	c.written.add(now, float64(ops))
 	c.inflight++
 	c.call("POST", "/commit", body, callTimeout, now, out, func(now step.Time, status int, body []byte, out *step.Out) {
 		c.inflight--
