Gangs get room gathered in one zone; guarantees count whole jobs; rooms chosen by price once

Now a job is within a guarantee as the protocol has it: together with its team's earlier unfinished jobs.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,6 +32,7 @@
 	packEvery  = 2 * time.Second
 	cleanEvery = time.Second
 	cleanJobs  = 2
+	loadEvery  = 10 * time.Second // between two lines of the log about the load
 	// A leader that hears no worker for this long gives the term up.
 	deafAfter = 12 * time.Second
 	// A report is answered when its consequences are stored, or after this.
@@ -99,6 +100,7 @@
 	packAt    step.Time
 	fleetAt   step.Time
 	cleanAt   step.Time
+	loadAt    step.Time
 	heardAny  step.Time // a worker's report, as leader
 	blocked   []*pipeline.Job
 	rooms     []*place.Room
@@ -270,6 +272,7 @@
 			n.log.Info("moving work off", "host", h.Name)
 		}
 	}
+	n.logLoad(now)
 	n.jobs.Flush(now, n.lead.Cond(), n.store)
 	if now-n.cleanAt >= cleanEvery {
 		n.cleanAt = now
@@ -277,6 +280,46 @@
 	}
 }
 
+// logLoad tells how much work there is and what is being done about it.
+func (n *Node) logLoad(now step.Time) {
+	if now-n.loadAt < loadEvery {
+		return
+	}
+	n.loadAt = now
+	var seen [pipeline.Exited + 1]int
+	var jobs, open, stopping, unstored int
+	for _, j := range n.jobs.Jobs {
+		if j == nil || j.Final != pipeline.Queued {
+			continue
+		}
+		if j.OpenCount() > 0 {
+			jobs, open = jobs+1, open+j.OpenCount()
+		}
+		j.Entries(func(e *pipeline.Entry) {
+			seen[e.Seen]++
+			if e.Evict {
+				stopping++
+			}
+			if !e.Durable {
+				unstored++
+			}
+		})
+	}
+	up, idle, free := 0, 0, 0.0
+	for _, r := range n.rooms {
+		up++
+		if !r.Busy {
+			idle++
+		}
+		free += r.Cards
+	}
+	_, writes := n.store.Demand(now)
+	n.log.Info("load", "jobs_waiting", jobs, "tasks_waiting", open, "unstored", unstored, "ordered", seen[pipeline.Unseen], "fetching", seen[pipeline.Pulling],
+		"gathering", seen[pipeline.Waiting], "running", seen[pipeline.RunningTask], "stopping", stopping, "machines", up, "idle", idle, "cards_free", free,
+		"reserved", n.placer.Reserved(), "cut_short", n.placer.CutShort, "writes", int(writes))
+	n.placer.CutShort = 0
+}
+
 // drain moves work off machines that the cloud is about to take.
 func (n *Node) drain(now step.Time) {
 	const lead = 4 * time.Second // for the stop to arrive and be answered
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,7 @@
 	Retiring bool            // logged as retired: no task may be placed
 	Draining bool            // its tasks were told to move: to be returned when empty
 	IdleFrom step.Time
+	Wanted   step.Time // when room on it was last kept for a job that waits
 	direct   step.Time
 }
 
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -148,6 +148,8 @@
 	BadHosts  map[int]bool // machines on which a task of the job failed
 	Breaking  bool         // gang: the attempt is being ended
 	FirstSeen int64
+	Within    bool // its team's guarantee
+	Gather    int  // 1 + the zone where room is gathered for it, 0: none
 	doneUnlog map[int]bool // done tasks whose entry is not ours to mark
 	cleaning  bool
 }
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -350,6 +350,19 @@
 	return list
 }
 
+// Unfinished returns the ready jobs that are not over, in the order in which
+// they became ready.
+func (t *Table) Unfinished() []*Job {
+	var list []*Job
+	for _, j := range t.Jobs {
+		if j != nil && j.Stamp != 0 && j.Ready && j.Final == Queued {
+			list = append(list, j)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Order < list[b].Order })
+	return list
+}
+
 // Place records the wish to start a task on a machine. The start may be sent
 // once the entry is durable.
 func (t *Table) Place(j *Job, task, host int, try uint64, now int64) *Entry {
@@ -421,6 +434,7 @@
 			continue
 		}
 		j.BadHosts = nil
+		j.Within, j.Gather = false, 0
 		j.Parked, j.Errors, j.Breaking, j.FirstSeen, j.doneUnlog, j.cleaning, j.finishing = 0, 0, false, 0, nil, false, false
 		for i := range j.Chunk {
 			ch := &j.Chunk[i]
--- /dev/null
+++ b/internal/place/choose.go
@@ -0,0 +1,110 @@
+package place
+
+import (
+	"container/heap"
+
+	"lugward/internal/pipeline"
+)
+
+// pick is room for one task of a job on a machine, and what it costs.
+type pick struct {
+	room    *Room
+	cost    float64
+	victims []*pipeline.Entry // to be stopped for it
+}
+
+// pricing tells what one more task costs on what is left of a machine. taken
+// holds the victims that were chosen before. ok is false where it can't be had.
+type pricing func(left *Room, taken map[*pipeline.Entry]bool) (cost float64, victims []*pipeline.Entry, ok bool)
+
+// offer is the cheapest next pick on one machine.
+type offer struct {
+	pick
+	left Room // as the picks before leave it
+	rank int  // of the machine among the others, so that equal costs keep an order
+}
+
+type offers []*offer
+
+func (o offers) Len() int { return len(o) }
+func (o offers) Less(a, b int) bool {
+	return o[a].cost < o[b].cost || (o[a].cost == o[b].cost && o[a].rank < o[b].rank)
+}
+func (o offers) Swap(a, b int) { o[a], o[b] = o[b], o[a] }
+func (o *offers) Push(x any)   { *o = append(*o, x.(*offer)) }
+func (o *offers) Pop() any {
+	old := *o
+	last := old[len(old)-1]
+	*o = old[:len(old)-1]
+	return last
+}
+
+const anyZone = -1
+
+// choose picks room for n tasks of a job, the cheapest first, in one zone or
+// in any. Nothing is changed by it.
+func (p *Placer) choose(j *pipeline.Job, rooms []*Room, zone, n int, price pricing) []pick {
+	taken := map[*pipeline.Entry]bool{}
+	var list offers
+	for i, r := range rooms {
+		if (zone != anyZone && r.Zone != zone) || !r.Suits(&j.Spec) || j.BadHosts[r.Host.Index] || r.Host.Draining {
+			continue
+		}
+		if cost, victims, ok := price(r, taken); ok {
+			list = append(list, &offer{pick{r, cost, victims}, *r, i})
+		}
+	}
+	heap.Init(&list)
+	inZone := p.Zones(j)
+	var picks []pick
+	for len(picks) < n && len(list) > 0 {
+		o := list[0]
+		if ZoneRoom(j, inZone, o.room.Zone) <= 0 {
+			heap.Pop(&list)
+			continue
+		}
+		picks = append(picks, o.pick)
+		inZone[o.room.Zone]++
+		for _, e := range o.victims {
+			taken[e] = true
+			o.left.give(&e.Job.Spec)
+		}
+		o.left.Take(&j.Spec, 1)
+		var ok bool
+		if o.cost, o.victims, ok = price(&o.left, taken); ok {
+			heap.Fix(&list, 0)
+		} else {
+			heap.Pop(&list)
+		}
+	}
+	return picks
+}
+
+// zonesOf lists the zones to try for a job: one at a time if its tasks must
+// be together, beginning with the one where room is being gathered for it.
+func (p *Placer) zonesOf(j *pipeline.Job, rooms []*Room) []int {
+	if !j.SamePlace || j.N == 1 {
+		return []int{anyZone}
+	}
+	inZone := p.Zones(j)
+	var zones []int
+	if len(inZone) > 0 {
+		for z := range inZone {
+			if len(inZone) == 1 && z != unknownZone {
+				zones = append(zones, z)
+			}
+		}
+		return zones // tasks of it may still be there
+	}
+	seen := map[int]bool{}
+	if j.Gather != 0 {
+		zones, seen[j.Gather-1] = append(zones, j.Gather-1), true
+	}
+	for _, r := range rooms {
+		if !seen[r.Zone] {
+			seen[r.Zone] = true
+			zones = append(zones, r.Zone)
+		}
+	}
+	return zones
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -69,10 +69,14 @@
 // Fits returns how many tasks of a job fit.
 func (r *Room) Fits(s *pipeline.Spec) int {
 	n := math.MaxInt32
-	for _, p := range [][2]float64{{r.Cores, s.Cores}, {r.Cards, s.Cards}, {r.RAM, s.RAM}} {
-		if p[1] > 0 {
-			n = min(n, int((p[0]+slack)/p[1]))
-		}
+	if s.Cores > 0 {
+		n = int((r.Cores + slack) / s.Cores)
+	}
+	if s.Cards > 0 {
+		n = min(n, int((r.Cards+slack)/s.Cards))
+	}
+	if s.RAM > 0 {
+		n = min(n, int((r.RAM+slack)/s.RAM))
 	}
 	return max(n, 0)
 }
@@ -101,12 +105,16 @@
 	Report  step.Time // between two reports of a machine
 	Silent  step.Time // a machine not heard for this long gets nothing new
 
+	// CutShort counts the rounds that ran out of their budget.
+	CutShort int
 	// Elapsed tells how much of the budget is used; nil: no limit.
 	Elapsed func() bool
 
-	resume   *pipeline.Job // where the last round ran out of time
-	held     []holding     // by the jobs before that
-	reserved int           // tasks with a reservation in this round
+	resume   *pipeline.Job          // where the last round ran out of time
+	held     []holding              // by the jobs before that
+	reserved int                    // tasks with a reservation in this round
+	lowest   pipeline.Rank          // of what runs
+	leaving  map[int]pipeline.Usage // by team, of what this round stops
 }
 
 // Rooms lists what is left of the machines that are up.
@@ -196,18 +204,24 @@
 	if start < 0 {
 		start, p.held = 0, p.held[:0]
 	}
-	for _, h := range p.held {
-		if h.job.OpenCount() > 0 && h.job.Final == pipeline.Queued {
-			if i := slices.IndexFunc(rooms, func(r *Room) bool { return r.Host == h.host }); i >= 0 {
-				rooms[i].Take(&h.job.Spec, 1)
+	if len(p.held) > 0 {
+		at := make(map[*fleet.Host]*Room, len(rooms))
+		for _, r := range rooms {
+			at[r.Host] = r
+		}
+		for _, h := range p.held {
+			if r := at[h.host]; r != nil && h.job.OpenCount() > 0 && h.job.Final == pipeline.Queued {
+				r.Take(&h.job.Spec, 1)
 			}
 		}
 	}
 	p.resume = nil
 	p.reserved = 0
+	p.leaving = map[int]pipeline.Usage{}
 	for i, j := range jobs[start:] {
 		if i > 0 && p.Elapsed != nil && p.Elapsed() {
 			p.resume = j
+			p.CutShort++
 			break
 		}
 		if j.FirstSeen == 0 {
@@ -227,9 +241,13 @@
 	return blocked, rooms
 }
 
+// Reserved is how many tasks got a reservation in the last round.
+func (p *Placer) Reserved() int { return p.reserved }
+
 // hold gives room that is not free yet to a task that waits for it.
-func (p *Placer) hold(j *pipeline.Job, r *Room) {
+func (p *Placer) hold(j *pipeline.Job, r *Room, now step.Time) {
 	r.Take(&j.Spec, 1)
+	r.Host.Wanted = now
 	p.held = append(p.held, holding{j, r.Host})
 }
 
@@ -238,28 +256,36 @@
 	host *fleet.Host
 }
 
-// order puts jobs of teams that are within their guarantee before others of
-// the same rank; within equal standing the order of readiness stays.
+// order puts jobs within their team's guarantee before others of the same
+// rank; within equal standing the order of readiness stays.
 func (p *Placer) order(jobs []*pipeline.Job) {
-	standing := make(map[*pipeline.Job]bool, len(jobs))
-	for _, j := range jobs {
-		standing[j] = p.within(j)
-	}
+	p.standing()
 	sort.SliceStable(jobs, func(a, b int) bool {
 		if jobs[a].Rank != jobs[b].Rank {
 			return jobs[a].Rank > jobs[b].Rank
 		}
-		return standing[jobs[a]] && !standing[jobs[b]]
+		return jobs[a].Within && !jobs[b].Within
 	})
 }
 
-// within tells whether one more task of the job is within its team's
-// guarantee: it must use something that is guaranteed, and no guaranteed
-// amount may be exceeded. What is not guaranteed does not count.
-func (p *Placer) within(j *pipeline.Job) bool {
-	t, u := p.Teams[j.Team], p.Jobs.Team(j.Team)
-	cores, cards := t.Cores > 0 && j.Cores > 0, t.Cards > 0 && j.Cards > 0
-	return (cores || cards) && (!cores || u.Cores+j.Cores <= t.Cores+slack) && (!cards || u.Cards+j.Cards <= t.Cards+slack)
+// standing finds the jobs that are within their team's guarantee: those that
+// fit there together with the team's unfinished jobs from before. A job must
+// use something that is guaranteed; what is not guaranteed does not count.
+func (p *Placer) standing() {
+	all := p.Jobs.Unfinished()
+	sum := map[int]pipeline.Usage{}
+	p.lowest = pipeline.Production
+	for _, j := range all {
+		t, u, n := p.Teams[j.Team], sum[j.Team], float64(j.N-j.DoneCount())
+		u.Cores += n * j.Cores
+		u.Cards += n * j.Cards
+		sum[j.Team] = u
+		cores, cards := t.Cores > 0 && j.Cores > 0, t.Cards > 0 && j.Cards > 0
+		j.Within = (cores || cards) && (!cores || u.Cores <= t.Cores+slack) && (!cards || u.Cards <= t.Cards+slack)
+		if j.Active() > 0 {
+			p.lowest = min(p.lowest, j.Rank)
+		}
+	}
 }
 
 // Quota returns how many more tasks of the job its team's limit allows.
@@ -292,16 +318,24 @@
 	if want == 0 {
 		return
 	}
-	var cands []*Room
+	type scored struct {
+		room  *Room
+		score float64
+	}
+	var list []scored
 	for _, r := range rooms {
-		if r.Suits(&j.Spec) && !j.BadHosts[r.Host.Index] && r.Fits(&j.Spec) > 0 {
-			cands = append(cands, r)
+		if r.Fits(&j.Spec) > 0 && r.Suits(&j.Spec) && !j.BadHosts[r.Host.Index] {
+			list = append(list, scored{r, p.score(j, r, now)})
 		}
 	}
-	if len(cands) == 0 {
+	if len(list) == 0 {
 		return
 	}
-	sort.SliceStable(cands, func(a, b int) bool { return p.score(j, cands[a], now) < p.score(j, cands[b], now) })
+	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	cands := make([]*Room, len(list))
+	for i, c := range list {
+		cands[i] = c.room
+	}
 	inZone := p.Zones(j)
 	if j.SamePlace {
 		cands = p.onePlace(j, cands, inZone, want)
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -8,34 +8,60 @@
 )
 
 // mostReserved bounds the reservations of one round: what is further back in
-// the order waits for later ones.
+// the order waits for later ones. A gang begun within the bound is reserved for
+// as a whole.
 const mostReserved = 64
 
 // reserve keeps room for tasks of a job that found none: on each machine it
 // takes what will be free first, so that jobs behind it in the order of
-// readiness use only what does not delay it.
+// readiness use only what does not delay it. For a gang that must be in one
+// place a zone is chosen once and kept: else the room that gathers in one is
+// left for another whenever that looks a little better, and small work takes it.
 func (p *Placer) reserve(j *pipeline.Job, left int, rooms []*Room, now step.Time) {
-	for ; left > 0 && p.reserved < mostReserved; left-- {
-		var best *Room
-		soonest := math.Inf(1)
-		for _, r := range rooms {
-			if !r.Suits(&j.Spec) || j.BadHosts[r.Host.Index] {
-				continue
-			}
-			if at := p.fitsAt(j, r, now); at < soonest {
-				soonest, best = at, r
-			}
+	if left <= 0 || p.reserved >= mostReserved {
+		return
+	}
+	if j.Shape != pipeline.Gang {
+		left = min(left, mostReserved-p.reserved)
+	}
+	price := func(r *Room, _ map[*pipeline.Entry]bool) (float64, []*pipeline.Entry, bool) {
+		at := p.fitsAt(j, r, now)
+		return at, nil, !math.IsInf(at, 1)
+	}
+	var best []pick
+	soonest, chosen := math.Inf(1), anyZone
+	for _, z := range p.zonesOf(j, rooms) {
+		picks := p.choose(j, rooms, z, left, price)
+		if len(picks) == 0 {
+			continue
+		}
+		at := picks[len(picks)-1].cost
+		if len(picks) < left {
+			// Not enough machines yet: it holds what there is only where more
+			// are being rented for it, and otherwise the most.
+			at = math.MaxFloat64 / float64(1+len(picks))
+		}
+		if at < soonest {
+			soonest, best, chosen = at, picks, z
 		}
-		if best == nil {
-			return
+		if j.Gather != 0 && z == j.Gather-1 {
+			break // kept
 		}
+	}
+	if chosen != anyZone && len(best) == left {
+		j.Gather = chosen + 1
+	}
+	for _, k := range best {
 		p.reserved++
-		p.hold(j, best)
+		p.hold(j, k.room, now)
 	}
 }
 
 // fitsAt estimates in how many seconds a task of the job fits on a machine.
 func (p *Placer) fitsAt(j *pipeline.Job, r *Room, now step.Time) float64 {
+	if r.Fits(&j.Spec) > 0 {
+		return 0
+	}
 	if !r.sorted {
 		r.sorted = true
 		for e := range p.Jobs.OnHost(r.Host.Index) {
@@ -48,16 +74,11 @@
 		sortEnds(r.ends)
 	}
 	free := *r
-	at := 0.0
 	for _, x := range r.ends {
+		free.give(&x.e.Job.Spec)
 		if free.Fits(&j.Spec) > 0 {
-			return at
+			return x.at
 		}
-		free.give(&x.e.Job.Spec)
-		at = x.at
-	}
-	if free.Fits(&j.Spec) > 0 {
-		return at
 	}
 	return math.Inf(1)
 }
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -308,7 +308,7 @@
 			continue
 		}
 		lost := h.Heard > 0 && now-h.Heard > silentLost
-		if lost || (h.Heard > 0 && h.Stray == 0 && (h.Draining || h.RecallAt != 0 || now-h.IdleFrom > r.cfg.IdleKeep)) {
+		if lost || (h.Heard > 0 && h.Stray == 0 && (h.Draining || h.RecallAt != 0 || now-max(h.IdleFrom, h.Wanted) > r.cfg.IdleKeep)) {
 			r.Retire(h, now, term)
 		}
 	}
