Machines are used once a report shows our fence; deaf machines and dark zones

Cause: being heard from was taken for being reachable. Now a report must carry our fence before anything is placed; starts that three reports in a row do not show, or a fence never taken up, make a machine deaf: its work is moved by proof and it is given back once its lease must have ended. Sessions that are over by proof do not come back. Zones most of whose machines are silent get no new machines and keep theirs for 150 s.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -251,7 +251,7 @@
 		n.fleet.Tick(now, n.lead, out)
 	}
 	n.drain(now)
-	n.rental.Tick(now, n.lead.Cond(), n.silent(), out)
+	n.rental.Tick(now, n.lead, n.lead.Cond(), n.silent(), out)
 	since := now - n.roundAt
 	n.jobs.Changed = n.jobs.Changed || n.rental.Replan
 	if (n.jobs.Changed && since >= time.Duration(n.cfg.Operator.Place.Round)) || since >= roundIdle {
@@ -489,7 +489,13 @@
 	n.heardAny = now
 	// An older report that still waits has lost its worker, and its list
 	// proves nothing any more.
-	n.waiting = slices.DeleteFunc(n.waiting, func(w waitingReport) bool { return w.report.Host == rep.Host })
+	n.waiting = slices.DeleteFunc(n.waiting, func(w waitingReport) bool {
+		if w.report.Host != rep.Host {
+			return false
+		}
+		n.respond(w.from, 503, nil, out)
+		return true
+	})
 	n.waiting = append(n.waiting, waitingReport{from, rep, now})
 	if n.lead.Entitled(now) {
 		n.act(now, out)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	Entitled(now step.Time) bool
 	SawFence(f uint64)
 	SilentProof(lastAnswer step.Time) step.Time
+	Lease() time.Duration
 }
 
 // Host is a machine.
@@ -32,25 +33,32 @@
 	Zone   int
 	Spot   bool
 
-	Known    bool // flavor and zone are known
-	Tenure   uint64
-	Tick     uint64
-	Heard    step.Time // of the last report, 0: none in this term
-	Answered step.Time
-	Back     step.Time // when it was last heard again after it had been silent
-	RecallAt step.Time // 0: no notice
+	Known  bool // flavor and zone are known
+	Fenced bool // a report of it carried our fence: our answers reach it
+	// Deaf is since when our answers seem not to reach it, 0: they do. Its
+	// reports may go on arriving all the while.
+	Deaf       step.Time
+	deafTenure uint64
+	leastTen   uint64 // older sessions are over by proof
+	Tenure     uint64
+	Tick       uint64
+	Heard      step.Time // of the last report, 0: none in this term
+	Answered   step.Time
+	Back       step.Time // when it was last heard again after it had been silent
+	RecallAt   step.Time // 0: no notice
 
 	Stray   int // tasks on it that no entry explains
 	Images  map[int]bool
 	Refused step.Time // full or in_use: not to be used before
 	// Jobs by name: an index serves another job once one is forgotten.
-	Errors   map[string]bool
-	Slow     map[string]bool // jobs in a row that ran far longer here than their class does
-	Retiring bool            // logged as retired: no task may be placed
-	Draining bool            // its tasks were told to move: to be returned when empty
-	IdleFrom step.Time
-	Wanted   step.Time // when room on it was last kept for a job that waits
-	direct   step.Time
+	Errors     map[string]bool
+	Slow       map[string]bool // jobs in a row that ran far longer here than their class does
+	Retiring   bool            // logged as retired: no task may be placed
+	Draining   bool            // its tasks were told to move: to be returned when empty
+	firstHeard step.Time
+	IdleFrom   step.Time
+	Wanted     step.Time // when room on it was last kept for a job that waits
+	direct     step.Time
 }
 
 // Fleet is the table of machines.
@@ -96,7 +104,7 @@
 
 // Up tells whether a machine can take tasks now.
 func (h *Host) Up(now step.Time, silent time.Duration) bool {
-	return h.Known && h.Heard > 0 && now-h.Heard < silent && !h.Retiring && !h.Draining && h.RecallAt == 0 && h.Stray == 0 && now >= h.Refused && len(h.Errors) < faultyJobs && len(h.Slow) < slowJobs
+	return h.Known && h.Fenced && h.Deaf == 0 && h.Heard > 0 && now-h.Heard < silent && !h.Retiring && !h.Draining && h.RecallAt == 0 && h.Stray == 0 && now >= h.Refused && len(h.Errors) < faultyJobs && len(h.Slow) < slowJobs
 }
 
 const (
@@ -108,8 +116,11 @@
 	ratioWeight  = 0.1 // of a new completion in a class's ratio of run time to estimate
 	faultyJobs   = 2   // so many different jobs failing on a machine make it faulty
 	refusedPause = 4 * time.Second
-	directEvery  = time.Second
-	directWait   = 3 * time.Second
+	// A start that so many reports in a row do not show did not arrive.
+	deafMisses  = 3
+	deafMargin  = 3 * time.Second
+	directEvery = time.Second
+	directWait  = 3 * time.Second
 	// A job that failed on this many machines is taken to be at fault itself.
 	faultyHosts = 3
 	parkBase    = 10 * time.Second
@@ -179,12 +190,15 @@
 // have seen.
 func (f *Fleet) Take(r *Report, now step.Time, term Term) (ok bool) {
 	h := f.Host(r.Host, now)
-	if r.Tenure < h.Tenure || (r.Tenure == h.Tenure && r.Tick <= h.Tick) {
-		// Held back by the network: its task list is as old as it is.
+	if r.Tenure < max(h.Tenure, h.leastTen) || (r.Tenure == h.Tenure && r.Tick <= h.Tick) {
+		// Held back by the network, or a copy: its task list is as old as it
+		// is, and whoever sent it waits for no answer. A session that ended by
+		// proof does not come back either.
 		return false
 	}
 	term.SawFence(r.Fence)
 	f.note(h, r, now)
+	f.hears(h, r, now, term)
 	for _, s := range r.Shards {
 		if j, e, task := f.find(h, s); e != nil {
 			f.progress(h, e, s, now)
@@ -197,6 +211,63 @@
 	return true
 }
 
+// hears finds out whether our answers reach a machine: being heard from is not
+// being reachable. A machine is used once a report carries our fence, which is
+// also what tells a report of this term from a copy of an older one; and no
+// more once it does not take up what it was told.
+func (f *Fleet) hears(h *Host, r *Report, now step.Time, term Term) {
+	if !h.Fenced {
+		if r.Fence == term.Fence() {
+			h.Fenced, h.Deaf = true, 0
+			f.Jobs.Changed = true
+		} else if h.Deaf == 0 && h.Answered > 0 && now-h.firstHeard > f.Silent {
+			f.deaf(h, now)
+		}
+		return
+	}
+	if h.Deaf != 0 {
+		// A session that outlives the lease has heard us; so has one that
+		// shows something it was told.
+		if h.Tenure == h.deafTenure && now-h.Deaf > term.Lease()+deafMargin {
+			f.log.Info("machine hears us again", "host", h.Name)
+			h.Deaf = 0
+			f.Jobs.Changed = true
+		}
+		return
+	}
+	listed := make(map[string]bool, len(r.Shards))
+	for _, s := range r.Shards {
+		listed[s.Shard] = true
+	}
+	for e := range f.Jobs.OnHost(h.Index) {
+		if e.Ordered == 0 || e.Ordered >= r.Tick || e.Seen != pipeline.Unseen {
+			continue
+		}
+		if listed[shardName(e)] {
+			e.Missed = 0
+		} else if e.Missed++; e.Missed >= deafMisses {
+			f.deaf(h, now)
+			return
+		}
+	}
+}
+
+// deaf gives up on a machine that does not hear us: what it never took up is
+// moved, once a report proves that it will not start.
+func (f *Fleet) deaf(h *Host, now step.Time) {
+	f.log.Info("machine does not hear us", "host", h.Name, "tasks", len(f.Jobs.OnHost(h.Index)))
+	h.Deaf, h.deafTenure = now, h.Tenure
+	for _, e := range f.sorted(h) {
+		f.Evict(e, e.Job.SnapCost+1)
+	}
+}
+
+// LastingDeaf tells whether a machine has not heard us for so long that its
+// tasks have ended with its lease.
+func (f *Fleet) LastingDeaf(h *Host, now step.Time, term Term) bool {
+	return h.Deaf != 0 && now-h.Deaf > term.Lease()+2*deafMargin
+}
+
 // find returns the job and the entry that a reported task belongs to, nil
 // where there is none.
 func (f *Fleet) find(h *Host, s Shard) (j *pipeline.Job, e *pipeline.Entry, task int) {
@@ -272,6 +343,7 @@
 			f.Jobs.Clear(e)
 		case !stop && entitled:
 			starts = append(starts, Order{Verb: "start", Shard: shardName(e), Try: e.Try})
+			e.Ordered = r.Tick
 			h.Images[e.Job.Bundle] = true
 		case stop && proof:
 			// One report is in flight at a time and responses never execute
@@ -294,7 +366,7 @@
 	}
 	if h.Heard == 0 {
 		// A machine is not idle while it boots.
-		h.IdleFrom = now
+		h.IdleFrom, h.firstHeard = now, now
 		f.Jobs.Changed = true
 	}
 	h.Addr, h.Spot, h.Tenure, h.Tick, h.Heard = r.Addr, r.Spot, r.Tenure, r.Tick, now
@@ -487,7 +559,8 @@
 		if h == nil {
 			h = f.Host(f.Names.Hosts.Name(i), now)
 		}
-		if now >= term.SilentProof(max(h.Answered, h.Heard)) {
+		if now >= term.SilentProof(h.Answered) {
+			h.leastTen = h.Tenure + 1
 			f.Gone(h, now)
 		}
 	})
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -138,9 +138,12 @@
 // last answer or from the end of the grace of whoever held the term before.
 func (l *Lead) SilentProof(lastAnswer step.Time) step.Time {
 	before := l.since + max(0, l.cfg.Grace-l.cfg.Life)
-	return max(lastAnswer, before) + l.cfg.Lease + l.cfg.Lease/1000 + proofMargin
+	return max(lastAnswer, before) + l.Lease() + proofMargin
 }
 
+// Lease is a worker's lease, with the drift of its clock.
+func (l *Lead) Lease() time.Duration { return l.cfg.Lease + l.cfg.Lease/1000 }
+
 // SawFence notes a fence shown by a worker or another controller.
 func (l *Lead) SawFence(f uint64) { l.highest = max(l.highest, f) }
 
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -94,6 +94,8 @@
 	Seen    TaskPhase
 	Evict   bool    // to be stopped, to run elsewhere
 	Wind    float64 // grace of that stop
+	Ordered uint64  // tick of the report whose answer last carried the start
+	Missed  int     // reports in a row that do not show it
 	Started int64   // steady time in ns when first seen on its machine, 0 before
 	Placed  int64   // steady time in ns of the decision
 }
@@ -148,8 +150,8 @@
 	BadHosts  map[int]bool // machines on which a task of the job failed
 	Breaking  bool         // gang: the attempt is being ended
 	FirstSeen int64
-	Within    bool // its team's guarantee
-	Gather    int  // 1 + the zone where room is gathered for it, 0: none
+	Within    bool         // its team's guarantee
+	Gather    int          // 1 + the zone where room is gathered for it, 0: none
 	doneUnlog map[int]bool // done tasks whose entry is not ours to mark
 	cleaning  bool
 }
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -445,7 +445,7 @@
 					t.remove(e)
 					continue
 				}
-				e.Wish, e.Seen, e.Evict, e.Started, e.Placed = Keep, Unseen, false, 0, 0
+				e.Wish, e.Seen, e.Evict, e.Started, e.Placed, e.Ordered, e.Missed = Keep, Unseen, false, 0, 0, 0, 0
 			}
 		}
 	}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -46,8 +46,12 @@
 	spread       = 1e-3 // weighs less than any real difference in price
 	maxReturn    = 100
 	listLimit    = 500
-	// A machine that is up neither reports nor boots for this long is lost.
+	// A machine that is up and does not report for this long is lost; where
+	// most of its zone is silent, too, the network is the likelier cause, and
+	// whoever returns them all pays for as many boots when it is mended.
 	silentLost = 60 * time.Second
+	darkLost   = 150 * time.Second
+	lookEvery  = 500 * time.Millisecond // between two looks at all machines
 	// For each silent machine so many others of its zone must be heard.
 	silentShare = 3
 	// A zone counts as cut for so long after a machine came back.
@@ -99,7 +103,9 @@
 	logging   map[string]bool
 	returned  map[string]step.Time // machines the cloud has taken back from us
 	since     step.Time
-	again     []retry // hires to repeat
+	lookAt    step.Time
+	dark      map[int]bool // zones most of whose machines are silent
+	again     []retry      // hires to repeat
 
 	planFrom step.Time // plans need a list that was asked for after this
 	mayPlan  bool
@@ -122,7 +128,7 @@
 	r.returning, r.logging, r.returned = map[string]bool{}, map[string]bool{}, map[string]step.Time{}
 	r.typesAt, r.listAt, r.listing = -typesEvery, -listEvery, false
 	clear(r.calls)
-	r.again, r.mayPlan = nil, false
+	r.again, r.mayPlan, r.lookAt, r.dark = nil, false, 0, nil
 }
 
 // Begin starts a term.
@@ -271,13 +277,25 @@
 }
 
 // Tick does the leader's part: lists, returns, gives up machines.
-func (r *Rental) Tick(now step.Time, term store.Cond, silent time.Duration, out *step.Out) {
+func (r *Rental) Tick(now step.Time, t fleet.Term, term store.Cond, silent time.Duration, out *step.Out) {
 	r.Types(now, &term, out)
-	r.sendReturns(now, term, out)
 	r.sendAgain(now, out)
+	r.sendReturns(now, term, out)
 	if !r.listing && now-r.listAt >= listEvery && r.allowed(now) {
 		r.list(now, "", out)
 	}
+	if now-r.lookAt < lookEvery {
+		return
+	}
+	r.lookAt = now
+	for _, h := range r.fleet.Hosts {
+		// A retirement whose write was refused is logged again.
+		if h != nil && h.Retiring && r.retired[h.Name] == 0 && !r.returning[h.Name] {
+			r.Retire(h, now, term)
+		}
+	}
+	zones := r.zones()
+	r.findDark(zones, now, silent)
 	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
 		b, h := r.boots[i], r.fleet.At(i)
 		if h == nil || h.Heard > 0 {
@@ -293,6 +311,9 @@
 			// Perhaps it works behind a cut; its lease tells when not.
 			wait = silentLost
 		}
+		if b.up && r.dark[b.zone] {
+			wait = darkLost
+		}
 		if f != nil && now-b.since > wait {
 			r.log.Info("machine never came up", "host", h.Name)
 			delete(r.boots, i)
@@ -302,33 +323,78 @@
 	if now-r.since < r.cfg.Settle {
 		return
 	}
-	r.giveUpSilent(now, term, silent)
+	r.giveUpSilent(zones, now, term, silent)
 	for _, h := range r.fleet.Hosts {
-		if h == nil || !h.Known || h.Retiring || len(r.jobs.OnHost(h.Index)) > 0 {
+		if h == nil || !h.Known || h.Retiring {
 			continue
 		}
-		lost := h.Heard > 0 && now-h.Heard > silentLost
+		if r.fleet.LastingDeaf(h, now, t) && !r.dark[h.Zone] {
+			r.log.Info("deaf machine given up", "host", h.Name)
+			r.Retire(h, now, term)
+			continue
+		}
+		if len(r.jobs.OnHost(h.Index)) > 0 {
+			continue
+		}
+		wait := silentLost
+		if r.dark[h.Zone] {
+			wait = darkLost
+		}
+		lost := h.Heard > 0 && now-h.Heard > wait
 		if lost || (h.Heard > 0 && h.Stray == 0 && (h.Draining || h.RecallAt != 0 || now-max(h.IdleFrom, h.Wanted) > r.cfg.IdleKeep)) {
 			r.Retire(h, now, term)
 		}
 	}
 }
 
-// giveUpSilent returns a machine that alone in its zone went silent: the
-// cloud's answer proves its tasks gone long before its lease does. Where
-// several are silent the network is the likelier cause, and they are left to
-// go on working; so they are while the zone comes back machine by machine.
-func (r *Rental) giveUpSilent(now step.Time, term store.Cond, silent time.Duration) {
+// zones lists the machines of each zone that are up, heard or not.
+func (r *Rental) zones() map[int][]*fleet.Host {
 	zones := map[int][]*fleet.Host{}
 	for _, h := range r.fleet.Hosts {
-		if h != nil && h.Heard != 0 && !h.Retiring {
+		if h == nil || h.Retiring {
+			continue
+		}
+		if b := r.boots[h.Index]; h.Heard != 0 || (b != nil && b.up) {
 			zones[h.Zone] = append(zones[h.Zone], h)
 		}
 	}
+	return zones
+}
+
+// findDark finds the zones most of whose machines are silent: nothing is
+// rented there, and what is there is not given up soon.
+func (r *Rental) findDark(zones map[int][]*fleet.Host, now step.Time, silent time.Duration) {
+	dark := map[int]bool{}
+	for z, hosts := range zones {
+		lost := 0
+		for _, h := range hosts {
+			last := h.Heard
+			if b := r.boots[h.Index]; h.Heard == 0 && b != nil {
+				last = b.since
+			}
+			if now-last > silent || h.Deaf != 0 {
+				lost++
+			}
+		}
+		if lost > 1 && 2*lost > len(hosts) {
+			dark[z] = true
+			if !r.dark[z] {
+				r.log.Info("zone is dark", "zone", r.names.Zones.Name(z), "machines", len(hosts), "silent", lost)
+			}
+		}
+	}
+	r.dark = dark
+}
+
+// giveUpSilent returns a machine that alone in its zone went silent: the
+// cloud's answer proves its tasks gone long before its lease does. Where
+// several are silent the network is the likelier cause, and they are left to
+// go on working; so they are while the zone comes back machine by machine.
+func (r *Rental) giveUpSilent(zones map[int][]*fleet.Host, now step.Time, term store.Cond, silent time.Duration) {
 	for _, z := range slices.Sorted(maps.Keys(zones)) {
 		var lost []*fleet.Host
 		for _, h := range zones[z] {
-			if now-h.Heard > silent {
+			if h.Heard != 0 && now-h.Heard > silent { // else it counts as booting
 				lost = append(lost, h)
 			}
 		}
@@ -364,6 +430,9 @@
 }
 
 func (r *Rental) sendReturns(now step.Time, term store.Cond, out *step.Out) {
+	if len(r.retired) == 0 {
+		return
+	}
 	var hosts []string
 	for _, name := range slices.Sorted(maps.Keys(r.retired)) {
 		if r.returning[name] {
@@ -374,12 +443,6 @@
 			hosts = append(hosts, name)
 		}
 	}
-	for _, h := range r.fleet.Hosts {
-		// A retirement whose write was refused is logged again.
-		if h != nil && h.Retiring && r.retired[h.Name] == 0 && !r.returning[h.Name] {
-			r.Retire(h, now, term)
-		}
-	}
 	if len(hosts) == 0 || !r.allowed(now) {
 		return
 	}
@@ -491,7 +554,7 @@
 	}
 	coming := map[int]*place.Room{}
 	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
-		if h := r.fleet.At(i); h != nil && !h.Retiring && h.Heard == 0 {
+		if h := r.fleet.At(i); h != nil && !h.Retiring && h.Heard == 0 && !(r.boots[i].up && r.dark[h.Zone]) {
 			if coming[i] = r.room(r.boots[i].offer); coming[i] != nil {
 				rooms = append(rooms, coming[i])
 			}
@@ -642,7 +705,7 @@
 			for _, spot := range []bool{true, false} {
 				o := offer{f.Index, z, spot}
 				room := r.room(o)
-				if now < r.refused[o].until || !room.Suits(&j.Spec) || (only >= 0 && z != only) {
+				if now < r.refused[o].until || r.dark[z] || !room.Suits(&j.Spec) || (only >= 0 && z != only) {
 					continue
 				}
 				n := min(room.Fits(&j.Spec), place.ZoneRoom(j, inZone, z))
