--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -418,7 +418,7 @@
 		n.answer(now, out)
 		return
 	}
-	if n.rental.CallDone(now, d, out) || n.fleet.CallDone(d) {
+	if n.rental.CallDone(now, d, out) || n.fleet.CallDone(d, n.lead, out) {
 		return
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,7 @@
 	IdleFrom   step.Time
 	Wanted     step.Time // when room on it was last kept for a job that waits
 	direct     step.Time
+	shown      step.Time
 }
 
 // Fleet is the table of machines.
@@ -67,8 +68,8 @@
 	Jobs  *pipeline.Table
 	Hosts []*Host // by index, nil if gone
 	log   *slog.Logger
-	calls map[uint64]bool // direct commands in flight
-	ratio map[int]float64 // run time against estimate, per class
+	calls map[uint64]*Host // direct commands in flight, nil: nothing is to be learnt
+	ratio map[int]float64  // run time against estimate, per class
 
 	// Silent is how long a machine may be quiet before that tells something.
 	Silent step.Time
@@ -76,7 +77,7 @@
 
 // New returns an empty fleet.
 func New(n *pipeline.Names, t *pipeline.Table, log *slog.Logger) *Fleet {
-	return &Fleet{Names: n, Jobs: t, log: log, calls: map[uint64]bool{}, ratio: map[int]float64{}}
+	return &Fleet{Names: n, Jobs: t, log: log, calls: map[uint64]*Host{}, ratio: map[int]float64{}}
 }
 
 // Host returns a machine by name, adding it when new.
@@ -120,6 +121,7 @@
 	deafMisses  = 3
 	deafMargin  = 3 * time.Second
 	directEvery = time.Second
+	showEvery   = 10 * time.Second
 	directWait  = 3 * time.Second
 	// A job that failed on this many machines is taken to be at fault itself.
 	faultyHosts = 3
@@ -559,7 +561,9 @@
 		if h == nil {
 			h = f.Host(f.Names.Hosts.Name(i), now)
 		}
-		if now >= term.SilentProof(h.Answered) {
+		// A report that is taken and not answered yet counts, too: what is
+		// placed on the machine meanwhile is not lost with its old session.
+		if now >= term.SilentProof(max(h.Answered, h.Heard)) {
 			h.leastTen = h.Tenure + 1
 			f.Gone(h, now)
 		}
@@ -606,20 +610,46 @@
 		return
 	}
 	h.direct = now
-	body, _ := json.Marshal(struct {
-		Fence  uint64  `json:"fence"`
-		Tenure uint64  `json:"tenure"`
-		Orders []Order `json:"orders"`
-	}{term.Fence(), h.Tenure, orders})
-	f.calls[out.Call(h.Addr, "POST", "/do", body, directWait)] = true
+	body, _ := json.Marshal(direct{term.Fence(), h.Tenure, orders})
+	f.calls[out.Call(h.Addr, "POST", "/do", body, directWait)] = nil
+}
+
+// Show tells a machine our fence by a command without orders. A leader that
+// lost the state service and the other controllers, but not its workers, may
+// answer them for its whole grace; shown a higher fence, they tell it at once,
+// and report to us. The proof of silence does not rest on it.
+func (f *Fleet) Show(h *Host, now step.Time, term Term, out *step.Out) {
+	if h.Addr == "" || (h.shown != 0 && now-h.shown < showEvery) {
+		return
+	}
+	h.shown = now
+	f.show(h, max(h.Tenure, 1), term, out, h)
+}
+
+func (f *Fleet) show(h *Host, tenure uint64, term Term, out *step.Out, learn *Host) {
+	body, _ := json.Marshal(direct{term.Fence(), tenure, []Order{}})
+	f.calls[out.Call(h.Addr, "POST", "/do", body, directWait)] = learn
+}
+
+type direct struct {
+	Fence  uint64  `json:"fence"`
+	Tenure uint64  `json:"tenure"`
+	Orders []Order `json:"orders"`
 }
 
 // CallDone takes the outcome of a direct command: the worker's next report
-// tells what became of it.
-func (f *Fleet) CallDone(d step.CallDone) bool {
-	if !f.calls[d.ID] {
+// tells what became of it. Only its session is taken from an answer that says
+// that we had it wrong.
+func (f *Fleet) CallDone(d step.CallDone, term Term, out *step.Out) bool {
+	h, ok := f.calls[d.ID]
+	if !ok {
 		return false
 	}
 	delete(f.calls, d.ID)
+	if h != nil && d.Status == 409 {
+		if r, err := ParseReport(d.Body); err == nil && r.Fence < term.Fence() {
+			f.show(h, r.Tenure, term, out, nil)
+		}
+	}
 	return true
 }
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -52,6 +52,10 @@
 	silentLost = 60 * time.Second
 	darkLost   = 150 * time.Second
 	lookEvery  = 500 * time.Millisecond // between two looks at all machines
+	// A machine that is up and has not come over by then is shown our fence, so
+	// many at a look: a connection to a silent one is held for a while.
+	showAfter = 2 * time.Second
+	mostShows = 20
 	// For each silent machine so many others of its zone must be heard.
 	silentShare = 3
 	// A zone counts as cut for so long after a machine came back.
@@ -296,6 +300,7 @@
 	}
 	zones := r.zones()
 	r.findDark(zones, now, silent)
+	shows := 0
 	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
 		b, h := r.boots[i], r.fleet.At(i)
 		if h == nil || h.Heard > 0 {
@@ -303,6 +308,10 @@
 			r.jobs.Changed = true
 			continue
 		}
+		if b.up && now-b.since > showAfter && shows < mostShows {
+			shows++
+			r.fleet.Show(h, now, t, out)
+		}
 		f := r.Flavors.Get(b.flavor)
 		wait := bootLeast
 		if f != nil && !b.up {
@@ -519,6 +528,9 @@
 		return // gone; the list lags
 	}
 	h := r.fleet.Host(w.Name, now)
+	if h.Addr == "" {
+		h.Addr = w.Addr
+	}
 	if !h.Known {
 		h.Flavor, h.Zone, h.Spot, h.Known = r.names.Flavors.Index(w.Type), r.names.Zones.Index(w.Yard), w.Spot, true
 	}
