Two ways to forget a job are mended; stand-ins with rates, deaf machines and late copies

The checker now fails a job without an answer for 75 s after the troubles, and a run that serves less than half of a class, a team or a class's largest jobs.

--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -88,6 +88,7 @@
 	Try     uint64
 	Durable bool // as read back from the state service
 	sent    bool // part of some write whose outcome may still turn out well
+	dropped bool // a write without it is under way
 
 	// What the leader has learnt; lost with the term.
 	Wish    Wish
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -253,6 +253,9 @@
 			delete(j.doneUnlog, task)
 		}
 	}
+	if j.complete() {
+		t.dirty[j] = true // an unknown write turned out well
+	}
 	if data == nil {
 		t.forget(j)
 	}
@@ -450,6 +453,13 @@
 		}
 	}
 	clear(t.dirty)
+	for _, j := range t.Jobs {
+		// All tasks are logged as done and the leader that logged it is gone:
+		// nothing else would ever mark the job.
+		if j != nil && j.complete() {
+			t.dirty[j] = true
+		}
+	}
 	t.Changed = true
 }
 
@@ -596,6 +606,15 @@
 		ch.queued[kind] = false
 		switch {
 		case r.Outcome == store.OK:
+			// An entry that may have been in a write whose outcome never came
+			// is gone now: that write built on an older stamp.
+			for task, e := range ch.Entries {
+				if e.dropped && !e.Durable {
+					delete(ch.Entries, task)
+					t.remove(e)
+					t.Changed = true
+				}
+			}
 			if ch.version == built {
 				ch.dirty = false
 			}
@@ -621,6 +640,8 @@
 			e.sent = true
 		case MarkDone:
 			done[e.Task%t.chunkLen/64] |= 1 << (e.Task % t.chunkLen % 64)
+		case Clear:
+			e.dropped = true
 		}
 	}
 	for task := range j.doneUnlog {
--- a/internal/simtest/check.go
+++ b/internal/simtest/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -16,10 +17,12 @@
 	asked    map[string]bool          // cancellations asked for
 	starts   int
 	refusals map[string]int
+	calmAt   time.Duration            // when the last trouble ended, 0: not yet
+	heardOf  map[string]time.Duration // when a question about a job was last answered
 }
 
 func newChecker(w *World) *Checker {
-	return &Checker{w: w, told: map[string]string{}, cancelAt: map[string]time.Duration{}, asked: map[string]bool{}, refusals: map[string]int{}}
+	return &Checker{w: w, told: map[string]string{}, cancelAt: map[string]time.Duration{}, asked: map[string]bool{}, refusals: map[string]int{}, heardOf: map[string]time.Duration{}}
 }
 
 func (c *Checker) broken(f string, a ...any) {
@@ -127,3 +130,66 @@
 		c.broken("forgotten: %s answered %d", id, status)
 	}
 }
+
+// forgottenAfter is how long a job may go without an answer once all troubles
+// are over, however others fare.
+const forgottenAfter = 75 * time.Second
+
+// polled notes whether a question about an accepted job was answered.
+func (c *Checker) polled(id string, status int) {
+	if _, ok := c.heardOf[id]; status == 200 || !ok {
+		c.heardOf[id] = c.w.now
+	}
+	if c.told[id] == "" || c.asked[id] || c.calmAt == 0 {
+		return
+	}
+	if since := max(c.heardOf[id], c.calmAt); c.w.now-since > forgottenAfter {
+		c.broken("forgotten: %s without an answer for %s", id, c.w.now-since)
+	}
+}
+
+// largestWithin is how soon the largest jobs of a class must begin.
+const largestWithin = 4 * time.Minute
+
+// served checks that at least half of each class, of each team and of each
+// class's largest jobs ran, the largest within their time.
+func (c *Checker) served() string {
+	type part struct{ all, ran int }
+	parts := map[string]*part{}
+	add := func(name string, ran bool) {
+		p := parts[name]
+		if p == nil {
+			p = &part{}
+			parts[name] = p
+		}
+		if p.all++; ran {
+			p.ran++
+		}
+	}
+	largest := map[string]int{}
+	for _, j := range c.w.jobs {
+		largest[j.class] = max(largest[j.class], j.n)
+	}
+	for id, j := range c.w.jobs {
+		if c.told[id] == "" || c.asked[id] {
+			continue
+		}
+		add("class "+j.class, j.began != 0)
+		add("team "+j.team, j.began != 0)
+		if j.n == largest[j.class] {
+			add("largest of "+j.class, j.began != 0 && j.began-j.asked <= largestWithin)
+		}
+	}
+	var short []string
+	for name, p := range parts {
+		if 2*p.ran < p.all {
+			short = append(short, fmt.Sprintf("%s: %d of %d", name, p.ran, p.all))
+		}
+	}
+	if len(short) == 0 {
+		return "served"
+	}
+	sort.Strings(short)
+	c.broken("not served: %s", strings.Join(short, ", "))
+	return strings.Join(short, "\n")
+}
--- a/internal/simtest/check_test.go
+++ b/internal/simtest/check_test.go
@@ -55,6 +55,22 @@
 		"invented":  func(w *World, _ *job) { w.check.answered("req-000009", 200, "queued") },
 		"not_done":  func(w *World, j *job) { w.check.answered(j.id, 200, "done") },
 		"went_back": func(w *World, j *job) { w.check.answered(j.id, 200, "cancelled") },
+		"without an answer for 1m16s": func(w *World, j *job) {
+			w.check.answered(j.id, 201, "queued")
+			w.check.calmAt = w.now + 1
+			w.check.polled(j.id, 200)
+			w.now += 76*time.Second + 1
+			w.check.polled(j.id, 503)
+		},
+		"not served: class c: 0 of 1, largest of c: 0 of 1, team red: 0 of 1": func(w *World, j *job) {
+			w.check.answered(j.id, 201, "queued")
+			w.check.served()
+		},
+		"not served: largest of c: 0 of 1": func(w *World, j *job) {
+			w.check.answered(j.id, 201, "queued")
+			j.began = 5 * time.Minute
+			w.check.served()
+		},
 		"was done": func(w *World, j *job) {
 			j.complete = map[int]bool{0: true, 1: true}
 			w.check.answered(j.id, 200, "done")
@@ -63,7 +79,7 @@
 	}
 	for want, breakIt := range cases {
 		w := New(1, 1, io.Discard)
-		j := &job{id: "req-000001", team: "red", n: 2, submitted: true, complete: map[int]bool{}}
+		j := &job{id: "req-000001", team: "red", class: "c", n: 2, submitted: true, complete: map[int]bool{}}
 		w.jobs[j.id] = j
 		breakIt(w, j)
 		if got := w.Verdict(); !strings.Contains(got, want) {
--- a/internal/simtest/scenario_test.go
+++ b/internal/simtest/scenario_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
@@ -60,7 +61,7 @@
 // TestRandomFaults plays random jobs under random faults; the rules must hold
 // and, once the faults are over, every job must end.
 func TestRandomFaults(t *testing.T) {
-	const plays = 24
+	const plays = 60
 	for seed := uint64(1); seed <= plays; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -94,6 +95,7 @@
 	w := New(3, seed, logOut())
 	w.watchRules()
 	w.loss, w.late = 0.01, 0.05
+	w.copies, w.copyLate = 0.05, 30*time.Second
 	for range 3 {
 		w.cloud.add("small", []string{"a", "b"}[w.rng.IntN(2)], false, 0)
 	}
@@ -147,7 +149,7 @@
 	}
 	for _, id := range open {
 		if told := w.check.told[id]; told != "done" && told != "cancelled" {
-			t.Errorf("seed %d: %s is still %s", seed, id, told)
+			t.Errorf("seed %d: %s is still %s: %+v\n%s", seed, id, told, *w.jobs[id], strings.Join(append(w.Keys("j/"+id), w.Keys("r/"+id)...), "\n"))
 		}
 	}
 	if v := w.Verdict(); v != "kept" {
@@ -159,7 +161,30 @@
 func (w *World) misfortune() {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	long := seconds(0.1 + w.rng.Float64()*20)
-	switch w.rng.IntN(9) {
+	switch w.rng.IntN(12) {
+	case 9:
+		// Several are back within a fraction of a second, wherever they were.
+		for _, n := range w.nodes {
+			if n.up && w.rng.IntN(2) == 0 {
+				n.kill()
+				w.after(seconds(0.05+w.rng.Float64()/2), func() {
+					if !n.up {
+						n.boot()
+					}
+				})
+			}
+		}
+	case 10:
+		if on := w.check.onMachines(); len(on) > 0 {
+			k := on[w.rng.IntN(len(on))].on
+			w.Deafen(k, true)
+			w.after(long, func() { w.Deafen(k, false) })
+		}
+	case 11:
+		if l := w.Leader(); l != nil {
+			w.isolate(l, true)
+			w.after(long, func() { w.isolate(l, false) })
+		}
 	case 0, 1:
 		if n.up {
 			n.kill()
@@ -208,7 +233,8 @@
 // calm ends all faults.
 func (w *World) calm() {
 	w.Run(seconds(25))
-	w.loss, w.late, w.cloud.never, w.cloud.down = 0, 0, 0, false
+	w.loss, w.late, w.cloud.never, w.cloud.down, w.copies = 0, 0, 0, false, 0
+	w.check.calmAt = w.now
 	for _, n := range w.nodes {
 		if !n.up {
 			n.boot()
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -49,7 +49,7 @@
 		j = &job{id: id, progress: map[int]time.Duration{}, complete: map[int]bool{}, gangs: map[uint64]*gang{}}
 		w.jobs[id] = j
 	}
-	j.team, j.shape = a.or("team", "red"), a.or("shape", "array")
+	j.team, j.shape, j.class = a.or("team", "red"), a.or("shape", "array"), a.or("class", "c")
 	j.n = int(a.num("shards", "1"))
 	j.cores, j.cards, j.ram = a.num("cores", "1"), a.num("cards", "0"), a.num("ram", "1")
 	if f, ok := a["flavors"]; ok {
@@ -59,7 +59,7 @@
 	j.same, j.scatter, j.loaners, j.broken = a.flag("same"), a.flag("scatter"), a.flag("loaners"), a.flag("broken")
 	j.run, j.image = a.dur("run", "5s"), a.dur("image", "1s")
 	j.snapEvery, j.snapCost = a.dur("snap", "0s"), a.dur("cost", "1s")
-	o := object{"name_id": id, "jobclass": "c", "owner": j.team, "shape": j.shape, "rank": a.or("rank", "normal"), "shards": j.n,
+	o := object{"name_id": id, "jobclass": j.class, "owner": j.team, "shape": j.shape, "rank": a.or("rank", "normal"), "shards": j.n,
 		"cores": j.cores, "cards": j.cards, "ram_gb": j.ram, "bundle": a.or("bundle", "img"), "image_gb": 1, "flavors": j.flavors, "yard": nil,
 		"same_place": j.same, "scatter": j.scatter, "loaners": j.loaners, "expect_s": j.run.Seconds(),
 		"snapshot_every_s": j.snapEvery.Seconds(), "snapshot_s": j.snapCost.Seconds(), "due_s": nil}
@@ -91,6 +91,9 @@
 		status, v := w.ask(n, method, path, body)
 		phase, _ := v["phase"].(string)
 		w.check.answered(id, status, phase)
+		if j := w.jobs[id]; j != nil && j.asked == 0 {
+			j.asked = max(w.now, 1)
+		}
 		switch status {
 		case 200, 201, 400, 404, 422:
 			return status, phase
@@ -114,6 +117,7 @@
 	status, v := w.ask(n, "GET", "/submissions/"+id, nil)
 	phase, _ := v["phase"].(string)
 	w.check.answered(id, status, phase)
+	w.check.polled(id, status)
 	return status, phase
 }
 
@@ -240,6 +244,30 @@
 		w.state.outage(!a.flag("over"))
 	case "cloud":
 		w.cloud.down = !a.flag("over")
+	case "deaf":
+		k := w.hostOf(a["shard"])
+		if k == nil {
+			return "not on a machine"
+		}
+		w.Deafen(k, true)
+		if a.flag("for") {
+			w.after(a.dur("for", "5s"), func() { w.Deafen(k, false) })
+		}
+	case "deafnext":
+		// The machine that comes up next never hears anybody.
+		w.deafNext += int(a.num("count", "1"))
+	case "copies":
+		w.copies, w.copyLate = a.num("share", "0"), a.dur("within", "30s")
+	case "isolate", "join":
+		for _, n := range w.pick(a["node"]) {
+			w.isolate(n, cmd == "isolate")
+		}
+	case "served":
+		return w.check.served()
+	case "settle":
+		w.check.calmAt = w.now
+	case "refused":
+		return strconv.Itoa(w.state.refused)
 	case "network":
 		w.loss, w.late = a.num("loss", "0"), a.num("late", "0")
 	case "pages":
--- a/internal/simtest/state.go
+++ b/internal/simtest/state.go
@@ -20,6 +20,25 @@
 	last   uint64
 	waits  []*stateWait
 	down   bool
+
+	requests, writes budget
+	refused          int // for exceeding them
+}
+
+// budget is a rate with one second's burst.
+type budget struct {
+	used float64
+	at   time.Duration
+}
+
+func (b *budget) take(now time.Duration, rate, n float64) bool {
+	b.used = max(0, b.used-rate*(now-b.at).Seconds())
+	b.at = now
+	if b.used+n > rate {
+		return false
+	}
+	b.used += n
+	return true
 }
 
 type stateKey struct {
@@ -61,6 +80,11 @@
 		return
 	}
 	s.expire()
+	if !s.requests.take(s.w.now, s.w.cfg.Settings.State.RPS, 1) {
+		s.refused++
+		answer(429, nil)
+		return
+	}
 	u, err := url.Parse(target)
 	if err != nil {
 		answer(400, nil)
@@ -146,13 +170,8 @@
 }
 
 func (s *state) changes(from uint64) object {
-	log := []stateChange{}
-	for _, c := range s.log {
-		if c.Stamp > from {
-			log = append(log, c)
-		}
-	}
-	return object{"epoch": s.epoch, "log": log}
+	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Stamp > from })
+	return object{"epoch": s.epoch, "log": append([]stateChange{}, s.log[i:]...)}
 }
 
 func (s *state) commit(body []byte) (int, any) {
@@ -173,6 +192,10 @@
 		s.w.fault("state service got a transaction over its limits: %d ops, %d conditions, %d bytes", len(t.Then), len(t.If), len(body))
 		return 400, nil
 	}
+	if !s.writes.take(s.w.now, set.WriteRPS, float64(len(t.Then))) {
+		s.refused++
+		return 429, nil
+	}
 	for _, op := range t.Then {
 		if op.Tether != 0 && s.leases[op.Tether] == nil {
 			return 400, object{"error": "no such lease"}
--- a/internal/simtest/worker.go
+++ b/internal/simtest/worker.go
@@ -49,7 +49,9 @@
 // job is what users upload.
 type job struct {
 	id            string
-	team          string
+	team, class   string
+	asked         time.Duration // when its user first got an answer
+	began         time.Duration // when it first ran, a gang as a whole
 	shape         string
 	n             int
 	cores, cards  float64
@@ -69,6 +71,12 @@
 	submitted     bool
 }
 
+func (j *job) begin(now time.Duration) {
+	if j.began == 0 {
+		j.began = now
+	}
+}
+
 type gang struct {
 	tasks   map[int]*task
 	started bool
@@ -81,6 +89,10 @@
 	k := &worker{w: w, name: name, addr: addr, flavor: flavor, zone: zone, spot: spot, up: true, tenure: 1, tasks: map[string]*task{},
 		images: map[string]bool{}, leaseFrom: w.now, target: w.rng.IntN(len(w.nodes)), changed: true}
 	w.workers[addr] = k
+	if w.deafNext > 0 {
+		w.deafNext--
+		w.Deafen(k, true)
+	}
 	k.loop()
 	return k
 }
@@ -301,6 +313,7 @@
 			k.joinGang(t)
 		default:
 			t.phase, t.begun = "running", k.w.now
+			j.begin(k.w.now)
 			if j.shape == "array" {
 				left := j.run - j.progress[index]
 				if k.slow > 0 {
@@ -356,6 +369,7 @@
 	g.tasks[t.index] = t
 	if !g.started && len(g.tasks) == j.n {
 		g.started = true
+		j.begin(k.w.now)
 		for i := range j.n {
 			m := g.tasks[i]
 			m.phase, m.begun = "running", k.w.now
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -41,6 +41,10 @@
 	check   *Checker
 
 	cut       map[[2]string]bool
+	lost      map[[2]string]bool // packets that way vanish
+	copies    float64            // share of reports of which a copy comes later, to any node
+	copyLate  time.Duration      // by at most this
+	deafNext  int                // so many of the next machines are deaf
 	held      []heldPacket
 	loss      float64 // share of packets between hosts that are lost
 	late      float64 // share of calls to the state service and cloud executed late as well
@@ -92,7 +96,7 @@
 		panic(err)
 	}
 	w := &World{rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, workers: map[string]*worker{}, jobs: map[string]*job{},
-		cut: map[[2]string]bool{}, pageLimit: 1000, log: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelInfo}))}
+		cut: map[[2]string]bool{}, lost: map[[2]string]bool{}, pageLimit: 1000, log: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelInfo}))}
 	w.state, w.cloud, w.check = newState(w), newCloud(w), newChecker(w)
 	for i := range nodes {
 		w.nodes = append(w.nodes, &node{w: w, index: i, name: fmt.Sprintf("n%d", i)})
@@ -125,6 +129,9 @@
 // packets of a stream are resent, so a loss only ends the exchange.
 func (w *World) send(from, to string, do func()) {
 	path := [2]string{from, to}
+	if w.lost[path] {
+		return
+	}
 	if w.cut[path] {
 		w.held = append(w.held, heldPacket{path, do})
 		return
@@ -135,6 +142,24 @@
 	w.after(time.Millisecond+time.Duration(w.rng.Int64N(int64(4*time.Millisecond))), do)
 }
 
+// Deafen lets a machine be heard while nothing reaches it, or ends that.
+func (w *World) Deafen(k *worker, on bool) {
+	for _, n := range w.nodes {
+		w.lost[[2]string{n.name, k.name}] = on
+	}
+}
+
+// isolate cuts a controller off from the state service and the other
+// controllers, but not from its workers.
+func (w *World) isolate(n *node, on bool) {
+	w.Cut(n.name, "state", on)
+	for _, o := range w.nodes {
+		if o != n {
+			w.Cut(n.name, o.name, on)
+		}
+	}
+}
+
 // Cut stops packets between two hosts in both directions.
 func (w *World) Cut(a, b string, on bool) {
 	for _, p := range [][2]string{{a, b}, {b, a}} {
@@ -291,20 +316,32 @@
 		}
 	}
 	w.after(timeout, func() { once(0, nil) })
-	w.send(from, n.name, func() {
+	deliver := func(n *node, answer func(status int, body []byte)) {
 		if !n.up {
-			once(0, nil)
+			answer(0, nil)
 			return
 		}
 		n.next++
 		id := n.next
-		n.conns[id] = func(status int, body []byte) {
-			w.send(n.name, from, func() { once(status, body) })
-		}
+		n.conns[id] = answer
 		n.step(func(now step.Time) {
 			n.core.Request(now, step.Request{Conn: id, Method: method, Path: path, Body: body}, &n.out)
 		})
+	}
+	w.send(from, n.name, func() {
+		deliver(n, func(status int, body []byte) {
+			if status == 0 {
+				once(0, nil)
+				return
+			}
+			w.send(n.name, from, func() { once(status, body) })
+		})
 	})
+	if path == "/hello" && w.rng.Float64() < w.copies {
+		// Nobody waits for what is answered to a copy.
+		to, late := w.nodes[w.rng.IntN(len(w.nodes))], time.Duration(w.rng.Int64N(int64(w.copyLate)))
+		w.after(late, func() { deliver(to, func(int, []byte) {}) })
+	}
 }
 
 // Workers lists the workers in an order that does not change from run to run.
