Scenarios of the added rules: deaf machines, copies, an isolated leader, quick restarts, a large gang, small rates

While writing them: a task that a worker lost with its session counted as seen, so its machine was never found deaf.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,7 +39,6 @@
 	// reports may go on arriving all the while.
 	Deaf       step.Time
 	deafTenure uint64
-	leastTen   uint64 // older sessions are over by proof
 	Tenure     uint64
 	Tick       uint64
 	Heard      step.Time // of the last report, 0: none in this term
@@ -192,10 +191,14 @@
 // have seen.
 func (f *Fleet) Take(r *Report, now step.Time, term Term) (ok bool) {
 	h := f.Host(r.Host, now)
-	if r.Tenure < max(h.Tenure, h.leastTen) || (r.Tenure == h.Tenure && r.Tick <= h.Tick) {
+	if r.Tenure < h.Tenure || (r.Tenure == h.Tenure && r.Tick <= h.Tick) {
 		// Held back by the network, or a copy: its task list is as old as it
-		// is, and whoever sent it waits for no answer. A session that ended by
-		// proof does not come back either.
+		// is, and whoever sent it waits for no answer.
+		return false
+	}
+	if r.Tenure == h.Tenure && h.Answered > 0 && now >= term.SilentProof(max(h.Answered, h.Heard)) {
+		// Its session has ended since we answered it last: this was held back
+		// since before, by a machine that may be gone.
 		return false
 	}
 	term.SawFence(r.Fence)
@@ -345,7 +348,8 @@
 			f.Jobs.Clear(e)
 		case !stop && entitled:
 			starts = append(starts, Order{Verb: "start", Shard: shardName(e), Try: e.Try})
-			e.Ordered = r.Tick
+			// Lost with the worker's session, if it was there before.
+			e.Ordered, e.Seen, e.Started = r.Tick, pipeline.Unseen, 0
 			h.Images[e.Job.Bundle] = true
 		case stop && proof:
 			// One report is in flight at a time and responses never execute
@@ -564,7 +568,6 @@
 		// A report that is taken and not answered yet counts, too: what is
 		// placed on the machine meanwhile is not lost with its old session.
 		if now >= term.SilentProof(max(h.Answered, h.Heard)) {
-			h.leastTen = h.Tenure + 1
 			f.Gone(h, now)
 		}
 	})
--- a/internal/simtest/scenario_test.go
+++ b/internal/simtest/scenario_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
+
+	"lugward/internal/config"
 )
 
 func logOut() io.Writer {
@@ -45,7 +47,10 @@
 			datadriven.RunTest(t, f, func(t *testing.T, d *datadriven.TestData) string {
 				a := args(d)
 				if d.Cmd == "world" {
-					w = New(int(a.num("nodes", "3")), uint64(a.num("seed", "1")), logOut())
+					w = New(int(a.num("nodes", "3")), uint64(a.num("seed", "1")), logOut(), func(p *config.Platform) {
+						p.Settings.Workers.ReportS = a.num("report", "1")
+						p.Settings.State.RPS, p.Settings.State.WriteRPS = a.num("rps", "100"), a.num("writes", "60")
+					})
 					w.watchRules()
 					return "ok"
 				}
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -84,11 +84,18 @@
 	return status, answer
 }
 
+// door is the controller that the next request of a user goes to.
+func (w *World) door() *node {
+	if w.users != nil {
+		return w.users
+	}
+	return w.nodes[w.rng.IntN(len(w.nodes))]
+}
+
 // user repeats a request as users do until an answer counts.
 func (w *World) user(id, method, path string, body []byte) (int, string) {
 	for end := w.now + userRetry; ; w.Run(time.Second) {
-		n := w.nodes[w.rng.IntN(len(w.nodes))]
-		status, v := w.ask(n, method, path, body)
+		status, v := w.ask(w.door(), method, path, body)
 		phase, _ := v["phase"].(string)
 		w.check.answered(id, status, phase)
 		if j := w.jobs[id]; j != nil && j.asked == 0 {
@@ -113,8 +120,7 @@
 
 // Poll asks for a job's state once, without insisting.
 func (w *World) Poll(id string) (int, string) {
-	n := w.nodes[w.rng.IntN(len(w.nodes))]
-	status, v := w.ask(n, "GET", "/submissions/"+id, nil)
+	status, v := w.ask(w.door(), "GET", "/submissions/"+id, nil)
 	phase, _ := v["phase"].(string)
 	w.check.answered(id, status, phase)
 	w.check.polled(id, status)
@@ -262,6 +268,13 @@
 		for _, n := range w.pick(a["node"]) {
 			w.isolate(n, cmd == "isolate")
 		}
+	case "users":
+		// From here on users ask a controller that does not lead.
+		for _, n := range w.nodes {
+			if n != w.Leader() {
+				w.users = n
+			}
+		}
 	case "served":
 		return w.check.served()
 	case "settle":
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -45,6 +45,7 @@
 	copies    float64            // share of reports of which a copy comes later, to any node
 	copyLate  time.Duration      // by at most this
 	deafNext  int                // so many of the next machines are deaf
+	users     *node              // whom users ask, nil: any
 	held      []heldPacket
 	loss      float64 // share of packets between hosts that are lost
 	late      float64 // share of calls to the state service and cloud executed late as well
@@ -89,12 +90,15 @@
 "cloud":{"rps":4,"list_lag_s":2},
 "resources":{"core_share":0.1,"ram_mb":100,"max_connections":500},"skew_ms":100}}`
 
-// New returns a world with so many controllers.
-func New(nodes int, seed uint64, log io.Writer) *World {
+// New returns a world with so many controllers. tune changes the settings.
+func New(nodes int, seed uint64, log io.Writer, tune ...func(*config.Platform)) *World {
 	cfg, err := config.Parse([]byte(Settings))
 	if err != nil {
 		panic(err)
 	}
+	for _, f := range tune {
+		f(cfg)
+	}
 	w := &World{rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, workers: map[string]*worker{}, jobs: map[string]*job{},
 		cut: map[[2]string]bool{}, lost: map[[2]string]bool{}, pageLimit: 1000, log: slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelInfo}))}
 	w.state, w.cloud, w.check = newState(w), newCloud(w), newChecker(w)
