--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -256,10 +256,7 @@
 	n.jobs.Changed = n.jobs.Changed || n.rental.Replan
 	if (n.jobs.Changed && since >= time.Duration(n.cfg.Operator.Place.Round)) || since >= roundIdle {
 		n.roundAt, n.jobs.Changed = now, false
-		if n.clock != nil {
-			begin, budget := n.clock(), time.Duration(n.cfg.Operator.Place.Budget)
-			n.placer.Elapsed = func() bool { return n.clock()-begin > budget }
-		}
+		n.startBudget()
 		n.blocked, n.rooms = n.placer.Round(now)
 		if now-n.planAt >= planEvery || n.rental.Replan {
 			n.planAt, n.rental.Replan = now, false
@@ -268,7 +265,8 @@
 	}
 	if now-n.packAt >= packEvery && n.rooms != nil {
 		n.packAt = now
-		if h := n.placer.Pack(now, n.rooms, n.blocked); h != nil {
+		n.startBudget()
+		for _, h := range n.placer.Pack(now, n.rooms, n.blocked) {
 			n.log.Info("moving work off", "host", h.Name)
 		}
 	}
@@ -280,6 +278,14 @@
 	}
 }
 
+// startBudget gives the placer the time of one round.
+func (n *Node) startBudget() {
+	if n.clock != nil {
+		begin, budget := n.clock(), time.Duration(n.cfg.Operator.Place.Budget)
+		n.placer.Elapsed = func() bool { return n.clock()-begin > budget }
+	}
+}
+
 // logLoad tells how much work there is and what is being done about it.
 func (n *Node) logLoad(now step.Time) {
 	if now-n.loadAt < loadEvery {
--- a/internal/place/pack.go
+++ b/internal/place/pack.go
@@ -31,25 +31,48 @@
 	return max(e.Job.Expect-ran, leastShare*e.Job.Expect)
 }
 
-// Pack finds a machine whose tasks all fit on other busy machines, stops them
-// with time to save, and marks the machine as draining so that it is returned
-// once empty. rooms is what the last round left.
-func (p *Placer) Pack(now step.Time, rooms []*Room, blocked []*pipeline.Job) *fleet.Host {
-	donors := slices.DeleteFunc(slices.Clone(rooms), func(r *Room) bool { return !p.mayDrain(r, now, blocked) })
-	// The dearest first, then the emptiest.
-	slices.SortStableFunc(donors, func(a, b *Room) int {
+// Pack finds machines whose tasks all fit on other busy ones, stops those with
+// time to save, and marks the machines as draining so that they are returned
+// once empty. rooms is what the last round left. The budget of a round bounds it.
+func (p *Placer) Pack(now step.Time, rooms []*Room, blocked []*pipeline.Job) (drained []*fleet.Host) {
+	wanted := map[*Flavor]bool{}
+	for _, r := range rooms {
+		if !wanted[r.Flavor] && slices.ContainsFunc(blocked, func(j *pipeline.Job) bool { return r.Suits(&j.Spec) }) {
+			wanted[r.Flavor] = true
+		}
+	}
+	donors := slices.DeleteFunc(slices.Clone(rooms), func(r *Room) bool { return wanted[r.Flavor] || !p.mayDrain(r, now) })
+	if len(donors) == 0 {
+		return nil
+	}
+	// The dearest first, then the emptiest; each is filled up from the other end.
+	order := func(a, b *Room) int {
 		return cmp.Or(cmp.Compare(b.price(), a.price()), cmp.Compare(b.Cores/b.Flavor.Cores, a.Cores/a.Flavor.Cores))
-	})
-	for _, d := range donors {
-		if p.fitsElsewhere(d, rooms) {
-			for e := range p.Jobs.OnHost(d.Host.Index) {
-				p.Fleet.Evict(e, e.Job.SnapCost+1)
-			}
-			d.Host.Draining = true
-			return d.Host
+	}
+	slices.SortStableFunc(donors, order)
+	var left []*Room
+	for _, r := range rooms {
+		if r.Busy && r.Host != nil && !r.Host.Draining {
+			c := *r
+			left = append(left, &c)
 		}
 	}
-	return nil
+	slices.SortStableFunc(left, func(a, b *Room) int { return order(b, a) })
+	receives := map[*fleet.Host]bool{}
+	for i, d := range donors {
+		if i > 0 && p.Elapsed != nil && p.Elapsed() {
+			break
+		}
+		if receives[d.Host] || !p.fitsElsewhere(d, left, receives) {
+			continue
+		}
+		for e := range p.Jobs.OnHost(d.Host.Index) {
+			p.Fleet.Evict(e, e.Job.SnapCost+1)
+		}
+		d.Host.Draining = true
+		drained = append(drained, d.Host)
+	}
+	return drained
 }
 
 func (r *Room) price() float64 {
@@ -61,15 +84,10 @@
 
 // mayDrain tells whether every task of a machine can be saved and moved, and
 // whether that is worth it.
-func (p *Placer) mayDrain(r *Room, now step.Time, blocked []*pipeline.Job) bool {
+func (p *Placer) mayDrain(r *Room, now step.Time) bool {
 	if !r.Busy || r.Host == nil || r.Host.Draining {
 		return false
 	}
-	for _, j := range blocked {
-		if r.Suits(&j.Spec) {
-			return false // the room is wanted
-		}
-	}
 	longest := 0.0
 	for e := range p.Jobs.OnHost(r.Host.Index) {
 		j := e.Job
@@ -82,14 +100,9 @@
 	return longest > worthMoving
 }
 
-// fitsElsewhere tries the tasks of a machine on the other busy ones.
-func (p *Placer) fitsElsewhere(d *Room, rooms []*Room) bool {
-	var left []Room
-	for _, r := range rooms {
-		if r != d && r.Busy && r.Host != nil && !r.Host.Draining {
-			left = append(left, *r)
-		}
-	}
+// fitsElsewhere puts the tasks of a machine on the others, in thought; what it
+// takes of them is kept if all fit.
+func (p *Placer) fitsElsewhere(d *Room, left []*Room, receives map[*fleet.Host]bool) bool {
 	entries := slices.Collect(func(yield func(*pipeline.Entry) bool) {
 		for e := range p.Jobs.OnHost(d.Host.Index) {
 			if !yield(e) {
@@ -100,22 +113,28 @@
 	slices.SortFunc(entries, func(a, b *pipeline.Entry) int {
 		return cmp.Or(cmp.Compare(b.Job.Cores, a.Job.Cores), cmp.Compare(a.Job.Order, b.Job.Order), cmp.Compare(a.Task, b.Task))
 	})
+	type move struct {
+		room *Room
+		job  *pipeline.Job
+	}
+	var moves []move
 	for _, e := range entries {
 		j := e.Job
-		found := false
-		for i := range left {
-			r := &left[i]
-			if !r.Suits(&j.Spec) || j.BadHosts[r.Host.Index] || r.Fits(&j.Spec) == 0 ||
-				(j.SamePlace && j.N > 1 && r.Zone != d.Zone) || (j.Scatter && r.Zone != d.Zone) {
-				continue
+		i := slices.IndexFunc(left, func(r *Room) bool {
+			return r.Host != d.Host && !r.Host.Draining && r.Fits(&j.Spec) > 0 && r.Suits(&j.Spec) && !j.BadHosts[r.Host.Index] &&
+				!(j.SamePlace && j.N > 1 && r.Zone != d.Zone) && !(j.Scatter && r.Zone != d.Zone)
+		})
+		if i < 0 {
+			for _, m := range moves {
+				m.room.give(&m.job.Spec)
 			}
-			r.Take(&j.Spec, 1)
-			found = true
-			break
-		}
-		if !found {
 			return false
 		}
+		left[i].Take(&j.Spec, 1)
+		moves = append(moves, move{left[i], j})
+	}
+	for _, m := range moves {
+		receives[m.room.Host] = true
 	}
 	return true
 }
