--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,6 +32,7 @@
 	packEvery  = 2 * time.Second
 	cleanEvery = time.Second
 	cleanJobs  = 2
+	staleAfter = 3 * time.Second
 	loadEvery  = 10 * time.Second // between two lines of the log about the load
 	// A leader that hears no worker for this long gives the term up.
 	deafAfter = 12 * time.Second
@@ -119,16 +120,20 @@
 		teams[n.names.Teams.Index(t.Name)] = t
 	}
 	n.jobs = pipeline.NewTable(n.names, int(s.State.ValueKB*1024), s.State.TxnOps)
-	n.store = store.New(cfg.Services.State, store.Limits{TxnOps: s.State.TxnOps, RPS: s.State.RPS, WriteRPS: s.State.WriteRPS}, n.listen)
+	lease := config.Seconds(s.Workers.LeaseS)
+	grace := lead.GraceFor(config.Seconds(s.Workers.CancelS), lease)
+	// A leader answers reports only while its replica is fresher than the
+	// grace: where cancellations have little time, an idle one must not age.
+	n.store = store.New(cfg.Services.State, store.Limits{TxnOps: s.State.TxnOps, RPS: s.State.RPS, WriteRPS: s.State.WriteRPS,
+		StaleAfter: min(staleAfter, grace/4)}, n.listen)
 	labels := []string{cfg.Label}
 	for _, p := range cfg.Seeds {
 		labels = append(labels, p.Label)
 		n.peers = append(n.peers, &peerState{label: p.Label, heard: -time.Hour})
 	}
 	sort.Strings(labels)
-	lease := config.Seconds(s.Workers.LeaseS)
 	n.lead = lead.New(lead.Config{Label: cfg.Label, Rank: sort.SearchStrings(labels, cfg.Label), Life: time.Duration(cfg.Operator.Term.Life),
-		Lease: lease, Grace: lead.GraceFor(config.Seconds(s.Workers.CancelS), lease)}, n.store, log)
+		Lease: lease, Grace: grace}, n.store, log)
 	n.fleet = fleet.New(n.names, n.jobs, log)
 	n.fleet.Silent = n.silent()
 	n.rental = rental.New(rental.Config{Addr: cfg.Services.Cloud, RPS: s.Cloud.RPS, ListLag: config.Seconds(s.Cloud.ListLagS),
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,15 +38,18 @@
 const (
 	tickEvery = 50 * time.Millisecond
 	// A cut-off address answers nothing; the dial must not outlive the call.
-	dialTimeout  = 1500 * time.Millisecond
-	idleOut      = 20 * time.Second  // an unused outgoing connection is closed
-	idleIn       = 150 * time.Second // an unused incoming connection is closed
-	halfRequest  = 10 * time.Second  // a request must arrive whole within this
-	redialEvery  = time.Second
-	maxResponse  = 8 << 20   // follow responses have no size limit of their own
-	maxUnsent    = 512 << 10 // a reader this far behind is dropped
-	maxFrame     = 128 << 10
-	outgoingRoom = 4 // 1/outgoingRoom of the sockets is kept for outgoing connections
+	dialTimeout = 1500 * time.Millisecond
+	idleOut     = 20 * time.Second  // an unused outgoing connection is closed
+	idleIn      = 150 * time.Second // an unused incoming connection is closed
+	halfRequest = 10 * time.Second  // a request must arrive whole within this
+	redialEvery = time.Second
+	maxResponse = 8 << 20   // follow responses have no size limit of their own
+	maxUnsent   = 512 << 10 // a reader this far behind is dropped
+	maxFrame    = 128 << 10
+	// For outgoing connections there is always room for some more than are in
+	// use, and for 1/outgoingRoom of all sockets at least.
+	outgoingMore = 8
+	outgoingRoom = 16
 )
 
 type connKind uint8
@@ -70,6 +73,8 @@
 	call   step.Call
 	since  step.Time // of the last activity
 	half   bool      // part of a request is buffered
+	held   bool      // a worker's, a probe's or a peer's: not closed to make room
+	gone   bool      // being closed
 }
 
 // loopBox gives the stored loop one concrete type.
@@ -320,7 +325,8 @@
 	c := &conn{kind: kindHTTP, g: g}
 	if g.LocalAddr().String() == e.cfg.PeerBind {
 		c.kind = kindPeerIn
-	} else if e.incoming >= e.cfg.MaxConnections-e.cfg.MaxConnections/outgoingRoom {
+		c.held = true
+	} else if !e.makeRoom() {
 		return nil, gnet.Close
 	}
 	e.incoming++
@@ -329,6 +335,27 @@
 	return nil, gnet.None
 }
 
+// makeRoom tells whether one more incoming connection may stay. Machines may
+// be nearly as many as sockets: workers and probes hold theirs, and the user
+// connection that has been idle for longest gives way.
+func (e *engine) makeRoom() bool {
+	outgoing := len(e.conns) - e.incoming
+	if e.incoming+max(outgoing+outgoingMore, e.cfg.MaxConnections/outgoingRoom) < e.cfg.MaxConnections {
+		return true
+	}
+	var idlest *conn
+	for _, c := range e.conns {
+		if c.kind == kindHTTP && !c.held && !c.busy && !c.half && !c.gone && (idlest == nil || c.since < idlest.since) {
+			idlest = c
+		}
+	}
+	if idlest == nil {
+		return false
+	}
+	e.drop(idlest)
+	return true
+}
+
 func (e *engine) add(c *conn) {
 	e.lastConn++
 	c.id, c.since = e.lastConn, e.now()
@@ -336,6 +363,7 @@
 }
 
 func (e *engine) drop(c *conn) {
+	c.gone = true
 	if c.g != nil {
 		_ = c.g.Close()
 	}
@@ -417,6 +445,7 @@
 		return
 	}
 	c.busy, c.close = true, m.Close
+	c.held = c.held || m.Target == "/hello" || m.Target == "/healthz"
 	r := step.Request{Conn: c.id, Method: m.Method, Path: m.Target, Body: append([]byte(nil), m.Body...)}
 	_, _ = c.g.Discard(n)
 	e.core.Request(e.now(), r, &e.out)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -41,7 +41,8 @@
 // GraceFor derives the grace from the workers' settings.
 func GraceFor(cancel, lease time.Duration) time.Duration {
 	const margin = 4 * time.Second // a report's round trip, clock drift, a late step
-	return max(0, cancel-lease-lease/1000-margin)
+	rest := cancel - lease - lease/1000
+	return max(0, rest-min(margin, rest/2))
 }
 
 const (
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -311,6 +311,9 @@
 				count[t.on.zone]++
 			}
 		}
+		if a.flag("either") {
+			return fmt.Sprintf("%d+%d", max(count["a"], count["b"]), min(count["a"], count["b"]))
+		}
 		return fmt.Sprintf("a=%d b=%d", count["a"], count["b"])
 	case "machines":
 		types := map[string]int{}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -92,6 +92,8 @@
 	Value    int
 	RPS      float64 // this node's part
 	WriteRPS float64
+	// A replica this old is refreshed without being asked.
+	StaleAfter time.Duration
 }
 
 // ListenFunc hears every change of the replica. data is nil when the key is gone.
@@ -105,7 +107,6 @@
 	pageLimit    = 500
 	maxInFlight  = 2
 	refusedPause = 100 * time.Millisecond // after 429 or 503
-	staleAfter   = 3 * time.Second        // a replica this old is refreshed without being asked
 	reloadPause  = 300 * time.Millisecond
 	leastPause   = 150 * time.Millisecond // between two watches, and two barriers
 	followPart   = 0.6                    // of the requests, for watches and barriers
@@ -415,7 +416,7 @@
 }
 
 func (c *Client) sendBarrier(now step.Time, out *step.Out) {
-	if c.barrierOpen || (len(c.barriers) == 0 && now-c.fresh < staleAfter) || now < c.barrierNext || !c.requests.has(now, 1) {
+	if c.barrierOpen || (len(c.barriers) == 0 && now-c.fresh < c.limits.StaleAfter) || now < c.barrierNext || !c.requests.has(now, 1) {
 		return
 	}
 	list, sent := c.barriers, now
