--- a/internal/simtest/scenario_test.go
+++ b/internal/simtest/scenario_test.go
@@ -50,6 +50,9 @@
 					w = New(int(a.num("nodes", "3")), uint64(a.num("seed", "1")), logOut(), func(p *config.Platform) {
 						p.Settings.Workers.ReportS = a.num("report", "1")
 						p.Settings.Workers.CancelS = a.num("cancel", "25")
+						if most := a.num("maxgpus", "0"); most > 0 {
+							p.Settings.Teams[0].CardsMax = most
+						}
 						p.Settings.State.RPS, p.Settings.State.WriteRPS = a.num("rps", "100"), a.num("writes", "60")
 					})
 					w.watchRules()
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -148,6 +148,18 @@
 	return strings.Join(all, "\n")
 }
 
+// accepted lists the jobs whose users got an answer and did not cancel.
+func (w *World) accepted() []string {
+	var ids []string
+	for id := range w.check.told {
+		if !w.check.asked[id] {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
 func (w *World) pick(name string) []*node {
 	switch name {
 	case "all":
@@ -193,6 +205,39 @@
 	case "submit":
 		status, phase := w.Submit(a)
 		return fmt.Sprintf("%d %s", status, phase)
+	case "burst":
+		// Many jobs alike, their ids counted up.
+		accepted := 0
+		for i := range int(a.num("count", "1")) {
+			one := Args{"id": fmt.Sprintf("req-%06d", int(a.num("from", "1"))+i)}
+			for k, v := range a {
+				if k != "id" {
+					one[k] = v
+				}
+			}
+			if status, _ := w.Submit(one); status == 200 || status == 201 {
+				accepted++
+			}
+		}
+		return fmt.Sprintf("%d accepted", accepted)
+	case "all":
+		// Polls every accepted job until all are done.
+		done := 0
+		for end := w.now + a.dur("within", "60s"); w.now < end; w.Run(time.Second) {
+			done = 0
+			for _, id := range w.accepted() {
+				if w.check.told[id] != "done" {
+					w.Poll(id)
+				}
+				if w.check.told[id] == "done" {
+					done++
+				}
+			}
+			if done == len(w.accepted()) {
+				break
+			}
+		}
+		return fmt.Sprintf("%d done", done)
 	case "poll":
 		status, phase := w.Poll(a["id"])
 		return fmt.Sprintf("%d %s", status, phase)
