--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -38,6 +38,10 @@
 	deafAfter = 12 * time.Second
 	// A report is answered when its consequences are stored, or after this.
 	answerWait = 400 * time.Millisecond
+	// The report of a machine without tasks is held for longer: nothing on it
+	// can change meanwhile, and a start that is decided then need not wait for
+	// the next report. The worker waits for 4 s.
+	idleWait = 2500 * time.Millisecond
 	// A worker that is back within this time after it was sent to the leader
 	// did not reach it; its reports are passed on for a while.
 	backSoon  = 20 * time.Second
@@ -586,7 +590,7 @@
 		switch {
 		case !n.leading || !n.lead.MayAnswer(now):
 			n.respond(w.from, 503, nil, out)
-		case now-w.since < answerWait && n.lead.Entitled(now) && (n.jobs.Changed || !n.fleet.Settled(w.report.Host)):
+		case n.lead.Entitled(now) && n.holdAnswer(w, now-w.since):
 			kept = append(kept, w)
 		default:
 			orders := n.fleet.Orders(w.report, now, n.lead)
@@ -600,6 +604,18 @@
 	n.waiting = kept
 }
 
+// holdAnswer tells whether the answer to a report may still gain something.
+func (n *Node) holdAnswer(w waitingReport, waited time.Duration) bool {
+	switch {
+	case waited < answerWait && n.jobs.Changed:
+		return true
+	case n.fleet.Idle(w.report):
+		return waited < idleWait
+	default:
+		return waited < answerWait && !n.fleet.Settled(w.report.Host)
+	}
+}
+
 func (n *Node) misdirect(conn uint64, out *step.Out) {
 	holder := n.lead.Holder()
 	if holder == "" || holder == n.cfg.Label {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -304,6 +304,24 @@
 	return true
 }
 
+// Idle tells whether a usable machine reports no task and has none to start yet.
+func (f *Fleet) Idle(r *Report) bool {
+	i, ok := f.Names.Hosts.Lookup(r.Host)
+	if !ok || len(r.Shards) > 0 {
+		return false
+	}
+	h := f.At(i)
+	if h == nil || !h.Fenced || h.Deaf != 0 || h.Retiring || h.RecallAt != 0 {
+		return false
+	}
+	for e := range f.Jobs.OnHost(i) {
+		if e.Durable {
+			return false
+		}
+	}
+	return true
+}
+
 // Orders returns what to answer to a report that was taken, as things stand
 // now.
 func (f *Fleet) Orders(r *Report, now step.Time, term Term) []Order {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -357,23 +357,35 @@
 			break
 		}
 	}
-	if j.Shape == pipeline.Gang && left > 0 {
-		return
-	}
-	var try uint64
-	if j.Shape == pipeline.Gang {
-		if try = j.MaxTry(); j.Active() == 0 {
-			try++
-		}
+	if j.Shape == pipeline.Gang && left > 0 && j.Active() == 0 {
+		return // the rest of one that has begun comes as its places come free
 	}
-	task := 0
+	try := p.attempt(j)
 	for _, pk := range picks {
-		pk.room.Take(&j.Spec, pk.n)
-		for n := pk.n; n > 0; task++ {
-			if j.Open(task) {
-				p.Jobs.Place(j, task, pk.room.Host.Index, try, int64(now))
-				n--
-			}
+		p.put(j, pk.room, pk.n, try, now)
+	}
+}
+
+// attempt is the number that the tasks placed next get: those of a gang share
+// theirs. 0: each task counts its own.
+func (p *Placer) attempt(j *pipeline.Job) uint64 {
+	switch {
+	case j.Shape != pipeline.Gang:
+		return 0
+	case j.Active() == 0:
+		return j.MaxTry() + 1
+	default:
+		return j.MaxTry()
+	}
+}
+
+// put places n open tasks of a job on a machine.
+func (p *Placer) put(j *pipeline.Job, r *Room, n int, try uint64, now step.Time) {
+	r.Take(&j.Spec, n)
+	for task := 0; n > 0; task++ {
+		if j.Open(task) {
+			p.Jobs.Place(j, task, r.Host.Index, try, int64(now))
+			n--
 		}
 	}
 }
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -51,6 +51,7 @@
 			j.Gather = z + 1
 		}
 	}
+	try := p.attempt(j)
 	for _, k := range best {
 		for _, e := range k.victims {
 			if e.Evict {
@@ -60,7 +61,13 @@
 			k.room.Leaving = append(k.room.Leaving, e)
 			p.leave(e)
 		}
-		p.hold(j, k.room, now)
+		if k.victims == nil && k.room.Fits(&j.Spec) > 0 {
+			// A gang's tasks fetch their image while room is made for the
+			// others: all have a promise, and the wait is short.
+			p.put(j, k.room, 1, try, now)
+		} else {
+			p.hold(j, k.room, now)
+		}
 		left--
 	}
 	return left
