--- a/cmd/lugward/main.go
+++ b/cmd/lugward/main.go
@@ -101,6 +101,11 @@
 	for _, s := range cfg.Seeds {
 		ec.Peers = append(ec.Peers, s.Endpoint)
 	}
+	for _, o := range cfg.Settings.Objectives {
+		if !o.Known() {
+			log.Info("objective of an unknown kind is ignored", "kind", o.Kind, "class", o.Class)
+		}
+	}
 	log.Info("starting", "label", cfg.Label, "bind", cfg.Bind)
 	return engine.Run(ec, node, log)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,12 +28,27 @@
 	CardsMax float64 `json:"gpus_max"`
 }
 
-// Objective restates one aim for a class of jobs.
+// Objective restates one aim, for a class of jobs or for all.
 type Objective struct {
 	Kind    string  `json:"kind"`
 	Class   string  `json:"class"`
 	WithinS float64 `json:"within_s"`
 	Share   float64 `json:"share"`
+	Times   float64 `json:"times"` // of the deadline
+}
+
+// Known tells whether we know what the objective asks for. One of another
+// kind is from a later platform and ignored.
+func (o *Objective) Known() bool {
+	switch o.Kind {
+	case "wait", "finished", "deadline", "guarantee", "makespan":
+		return true
+	}
+	return false
+}
+
+func (o *Objective) good() bool {
+	return o.WithinS >= 0 && o.Share >= 0 && o.Share <= 1 && o.Times >= 0
 }
 
 // Platform is the settings file handed over by the platform. Unknown fields
@@ -218,6 +233,11 @@
 	if s.Workers.CancelS <= s.Workers.LeaseS {
 		return fmt.Errorf("settings.workers.cancel_s must exceed lease_s")
 	}
+	for _, o := range s.Objectives {
+		if o.Known() && !o.good() {
+			return fmt.Errorf("settings.objectives: %s of class %q has a negative amount or a share beyond 1", o.Kind, o.Class)
+		}
+	}
 	for _, t := range s.Teams {
 		if t.Name == "" || t.Cores < 0 || t.CoresMax < 0 || t.Cards < 0 || t.CardsMax < 0 {
 			return fmt.Errorf("settings.teams: team %q has no name or a negative amount", t.Name)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -479,6 +479,16 @@
 	f.ratio[j.Class] = usual + ratioWeight*(took-usual)
 }
 
+// Usual is what a job's task usually takes, in seconds: its owner's estimate,
+// corrected by what its class took lately. On some days estimates are mostly
+// too high or mostly too low.
+func (f *Fleet) Usual(j *pipeline.Job) float64 {
+	if r, ok := f.ratio[j.Class]; ok {
+		return j.Expect * r
+	}
+	return j.Expect
+}
+
 // failed sorts out whether the machine or the job is at fault.
 func (f *Fleet) failed(h *Host, j *pipeline.Job, now step.Time) {
 	f.log.Info("task failed", "job", j.ID, "host", h.Name)
--- a/internal/place/pack.go
+++ b/internal/place/pack.go
@@ -20,15 +20,16 @@
 )
 
 // Remaining estimates how long a task still runs, in seconds.
-func Remaining(e *pipeline.Entry, now step.Time) float64 {
+func (p *Placer) Remaining(e *pipeline.Entry, now step.Time) float64 {
 	if e.Job.Shape == pipeline.Daemon {
 		return math.Inf(1) // until it is cancelled
 	}
+	usual := p.Fleet.Usual(e.Job)
 	if e.Started == 0 {
-		return e.Job.Expect
+		return usual
 	}
 	ran := float64(int64(now)-e.Started) / 1e9
-	return max(e.Job.Expect-ran, leastShare*e.Job.Expect)
+	return max(usual-ran, leastShare*usual)
 }
 
 // Pack finds machines whose tasks all fit on other busy ones, stops those with
@@ -95,7 +96,7 @@
 			(j.Shape == pipeline.Gang && j.N > 1) || int64(now)-e.Started < countsAfter {
 			return false
 		}
-		longest = max(longest, Remaining(e, now))
+		longest = max(longest, p.Remaining(e, now))
 	}
 	return longest > worthMoving
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -154,7 +154,7 @@
 			case e.Job.Final != pipeline.Queued || e.Wish != pipeline.Keep:
 				r.give(&e.Job.Spec)
 			default:
-				r.ends = append(r.ends, ending{e, Remaining(e, now)})
+				r.ends = append(r.ends, ending{e, p.Remaining(e, now)})
 			}
 		}
 		sortEnds(r.ends)
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -65,7 +65,7 @@
 	if !r.sorted {
 		r.sorted = true
 		for e := range p.Jobs.OnHost(r.Host.Index) {
-			at := Remaining(e, now)
+			at := p.Remaining(e, now)
 			if e.Evict {
 				at = e.Job.SnapCost
 			}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -62,8 +62,9 @@
 	cutMemory = 60 * time.Second
 	// Boots take several times the nominal time now and then; past this many
 	// times (and at least bootLeast) a machine is given up.
-	bootTimes = 4.0
-	bootLeast = 40 * time.Second
+	bootTimes  = 4.0
+	bootLeast  = 40 * time.Second
+	bootWeight = 0.1 // of a new machine in what is known of its type
 )
 
 type offer struct {
@@ -77,6 +78,7 @@
 	since step.Time
 	up    bool      // by the list, though silent to us
 	idle  step.Time // since when no task is planned for it, 0: one is
+	ours  bool      // rented in this term
 }
 
 // Rental is the slice.
@@ -108,8 +110,9 @@
 	returned  map[string]step.Time // machines the cloud has taken back from us
 	since     step.Time
 	lookAt    step.Time
-	dark      map[int]bool // zones most of whose machines are silent
-	again     []retry      // hires to repeat
+	bootRatio map[int]float64 // of the time a type takes to come up to what the cloud says
+	dark      map[int]bool    // zones most of whose machines are silent
+	again     []retry         // hires to repeat
 
 	planFrom step.Time // plans need a list that was asked for after this
 	mayPlan  bool
@@ -121,7 +124,7 @@
 // New returns the slice.
 func New(cfg Config, n *pipeline.Names, t *pipeline.Table, f *fleet.Fleet, s *store.Client, log *slog.Logger) *Rental {
 	r := &Rental{cfg: cfg, names: n, jobs: t, fleet: f, store: s, log: log, calls: map[uint64]func(step.Time, int, []byte, *step.Out){},
-		retired: map[string]uint64{}}
+		retired: map[string]uint64{}, bootRatio: map[int]float64{}}
 	r.Forget()
 	return r
 }
@@ -304,6 +307,7 @@
 	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
 		b, h := r.boots[i], r.fleet.At(i)
 		if h == nil || h.Heard > 0 {
+			r.learnBoot(b, now)
 			delete(r.boots, i)
 			r.jobs.Changed = true
 			continue
@@ -315,7 +319,7 @@
 		f := r.Flavors.Get(b.flavor)
 		wait := bootLeast
 		if f != nil && !b.up {
-			wait = max(bootLeast, time.Duration(bootTimes*f.Ready*float64(time.Second)))
+			wait = max(bootLeast, time.Duration(bootTimes*r.ready(f)*float64(time.Second)))
 		} else if len(r.jobs.OnHost(i)) > 0 {
 			// Perhaps it works behind a cut; its lease tells when not.
 			wait = silentLost
@@ -356,6 +360,29 @@
 	}
 }
 
+// learnBoot notes how long a machine took to come up. Since a term may begin
+// while it boots, only those that we rented ourselves count.
+func (r *Rental) learnBoot(b *booting, now step.Time) {
+	f := r.Flavors.Get(b.flavor)
+	if !b.ours || f == nil || f.Ready <= 0 {
+		return
+	}
+	usual, known := r.bootRatio[b.flavor]
+	if !known {
+		usual = 1
+	}
+	took := (now - b.since).Seconds() / f.Ready
+	r.bootRatio[b.flavor] = usual + bootWeight*(min(took, bootTimes)-usual)
+}
+
+// ready is how long a machine of a type usually takes to come up, in seconds.
+func (r *Rental) ready(f *place.Flavor) float64 {
+	if ratio, ok := r.bootRatio[f.Index]; ok {
+		return f.Ready * ratio
+	}
+	return f.Ready
+}
+
 // zones lists the machines of each zone that are up, heard or not.
 func (r *Rental) zones() map[int][]*fleet.Host {
 	zones := map[int][]*fleet.Host{}
@@ -655,7 +682,7 @@
 	least := math.Inf(1)
 	for _, f := range r.Flavors {
 		if place.Allowed(&j.Spec, f) {
-			least = min(least, f.Ready)
+			least = min(least, r.ready(f))
 		}
 	}
 	if math.IsInf(least, 1) {
@@ -772,7 +799,7 @@
 				h := r.fleet.Host(name, now)
 				if h.Heard == 0 {
 					h.Flavor, h.Zone, h.Spot, h.Known = o.flavor, o.zone, o.spot, true
-					r.boots[h.Index] = &booting{offer: o, since: now}
+					r.boots[h.Index] = &booting{offer: o, since: now, ours: true}
 				}
 			}
 			if len(v.Hosts) < n {
