--- a/cmd/limits/main.go
+++ b/cmd/limits/main.go
@@ -87,6 +87,7 @@
 		Kind   string  `toml:"kind"`
 		Class  string  `toml:"class"`
 		Within float64 `toml:"within_s"`
+		Share  float64 `toml:"share"`
 	} `toml:"targets"`
 }
 
@@ -137,7 +138,7 @@
 func (s *site) bounds(weight float64) (float64, string, error) {
 	var w strings.Builder
 	horizon := s.Warmup + s.Duration
-	cost, lowest, booted := 0.0, 0.0, 0.0
+	cost, lowest, booted, work := 0.0, 0.0, 0.0, 0.0
 	for j := range s.Jobs {
 		job := &s.Jobs[j]
 		opts := s.options(j, weight)
@@ -146,6 +147,7 @@
 		}
 		jobs := job.Initial + job.Arrivals.Rate*horizon
 		load := jobs * job.Tasks.mean() * job.Run.mean() / horizon // tasks running, on average
+		work += load * job.CPUs * horizon
 		c, left, rented, cheapest := 0.0, load, 0.0, math.Inf(1)
 		for _, o := range opts {
 			n := math.Min(left, o.room)
@@ -179,6 +181,21 @@
 				t.Within, 1-late/jobs, jobs, soonest, up)
 		}
 	}
+	for _, t := range s.Targets {
+		if t.Kind != "makespan" {
+			continue
+		}
+		cores := 0.0
+		for _, c := range s.Capacity {
+			for _, m := range s.Types {
+				if m.Name == c.Type {
+					cores += m.CPUs * (c.Count + c.Spot)
+				}
+			}
+		}
+		// That share of the work comes no sooner, and all cores need their time for it.
+		fmt.Fprintf(&w, "makespan: at least %.0f s (%.0f s of every core there is)\n", t.Share*math.Max(horizon, work/cores), work/cores)
+	}
 	fmt.Fprintf(&w, "price: at least %.2f\nuseful: at most %.2f (each rented machine boots once)\n", (cost+booted)/lowest, cost/(cost+booted))
 	return cost + booted, w.String(), nil
 }
@@ -243,6 +260,7 @@
 			Kind   string  `json:"kind"`
 			Class  string  `json:"class"`
 			Within float64 `json:"within_s"`
+			Times  float64 `json:"times"`
 			Value  float64 `json:"value"`
 		} `json:"targets"`
 	}
@@ -250,7 +268,17 @@
 		return err
 	}
 	for _, t := range r.Targets {
-		fmt.Fprintf(w, "simulated, %s: %s %s %.0f: %.3f\n", r.Scenario, t.Kind, t.Class, t.Within, t.Value)
+		name := t.Kind
+		if t.Class != "" {
+			name += " " + t.Class
+		}
+		if t.Within > 0 {
+			name += fmt.Sprintf(" %.0f s", t.Within)
+		}
+		if t.Times > 0 {
+			name += fmt.Sprintf(" %.1f times", t.Times)
+		}
+		fmt.Fprintf(w, "simulated, %s: %s: %.3f\n", r.Scenario, name, t.Value)
 	}
 	return nil
 }
--- a/cmd/limits/main_test.go
+++ b/cmd/limits/main_test.go
@@ -31,6 +31,9 @@
 kind = "wait"
 class = "c"
 within_s = 5.0
+[[targets]]
+kind = "makespan"
+share = 0.9
 `
 
 func TestBounds(t *testing.T) {
@@ -42,7 +45,7 @@
 	if err := run([]string{path}, &out); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"c: 1.0 tasks run on average, 1.00 an hour at least (1.00", "wait 5 s: at most 0.500 of 2 jobs (quickest machine after 8 s, 1 tasks", "price: at least 1.00", "useful: at most 1.00"} {
+	for _, want := range []string{"c: 1.0 tasks run on average, 1.00 an hour at least (1.00", "wait 5 s: at most 0.500 of 2 jobs (quickest machine after 8 s, 1 tasks", "makespan: at least 90 s (50 s of every core", "price: at least 1.00", "useful: at most 1.00"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("no %q in:\n%s", want, out.String())
 		}
