--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -237,6 +237,8 @@
 			f.log.Info("machine hears us again", "host", h.Name)
 			h.Deaf = 0
 			f.Jobs.Changed = true
+		} else {
+			f.moveUnseen(h)
 		}
 		return
 	}
@@ -258,12 +260,19 @@
 }
 
 // deaf gives up on a machine that does not hear us: what it never took up is
-// moved, once a report proves that it will not start.
+// moved, once a report proves that it will not start. What runs goes on: it may
+// complete before its lease ends, and we may be wrong.
 func (f *Fleet) deaf(h *Host, now step.Time) {
 	f.log.Info("machine does not hear us", "host", h.Name, "tasks", len(f.Jobs.OnHost(h.Index)))
 	h.Deaf, h.deafTenure = now, h.Tenure
+	f.moveUnseen(h)
+}
+
+func (f *Fleet) moveUnseen(h *Host) {
 	for _, e := range f.sorted(h) {
-		f.Evict(e, e.Job.SnapCost+1)
+		if e.Seen == pipeline.Unseen {
+			f.Evict(e, e.Job.SnapCost+1)
+		}
 	}
 }
 
