--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -197,6 +197,7 @@
 
 // Tick advances time.
 func (n *Node) Tick(now step.Time, out *step.Out) {
+	n.jobs.Now = int64(now)
 	n.store.Tick(now, out)
 	n.lead.Tick(now, out)
 	n.settle(now, out)
@@ -424,6 +425,7 @@
 
 // CallDone takes the outcome of a call of ours.
 func (n *Node) CallDone(now step.Time, d step.CallDone, out *step.Out) {
+	n.jobs.Now = int64(now)
 	if n.store.CallDone(now, d, out) {
 		n.settle(now, out)
 		if n.leading && n.lead.Entitled(now) {
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -135,9 +135,11 @@
 	// Order is the epoch at which the job became ready: ready jobs start in
 	// that order.
 	Order uint64
-	Stamp uint64 // of the job record, 0: none held
-	Final Phase  // Done or Cancelled once marked, else Queued
-	Chunk []Chunk
+	// FirstSeen is the steady time at which this node saw it ready.
+	FirstSeen int64
+	Stamp     uint64 // of the job record, 0: none held
+	Final     Phase  // Done or Cancelled once marked, else Queued
+	Chunk     []Chunk
 
 	done     int // tasks marked done in run records
 	active   int // entries
@@ -150,7 +152,6 @@
 	Errors    int
 	BadHosts  map[int]bool // machines on which a task of the job failed
 	Breaking  bool         // gang: the attempt is being ended
-	FirstSeen int64
 	Within    bool         // its team's guarantee
 	Gather    int          // 1 + the zone where room is gathered for it, 0: none
 	doneUnlog map[int]bool // done tasks whose entry is not ours to mark
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -33,6 +33,8 @@
 	dirty    map[*Job]bool
 	free     []int
 
+	// Now is the steady time of the input that is being handled.
+	Now int64
 	// Changed is set whenever something that placement looks at has changed.
 	Changed bool
 }
@@ -141,7 +143,7 @@
 	t.recount(j, 1)
 	j.Stamp = stamp
 	if j.Ready && !was {
-		j.Order = stamp
+		j.Order, j.FirstSeen = stamp, max(t.Now, 1)
 	}
 	if !j.Ready {
 		for _, up := range j.Up {
@@ -438,7 +440,7 @@
 		}
 		j.BadHosts = nil
 		j.Within, j.Gather = false, 0
-		j.Parked, j.Errors, j.Breaking, j.FirstSeen, j.doneUnlog, j.cleaning, j.finishing = 0, 0, false, 0, nil, false, false
+		j.Parked, j.Errors, j.Breaking, j.doneUnlog, j.cleaning, j.finishing = 0, 0, false, nil, false, false
 		for i := range j.Chunk {
 			ch := &j.Chunk[i]
 			ch.dirty, ch.retryAt = false, 0
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"sort"
+	"time"
 
 	"lugward/internal/config"
 	"lugward/internal/fleet"
@@ -199,7 +200,7 @@
 func (p *Placer) Round(now step.Time) (blocked []*pipeline.Job, rooms []*Room) {
 	rooms = p.Rooms(now)
 	jobs := p.Jobs.Ready(int64(now))
-	p.order(jobs)
+	p.order(jobs, now)
 	start := slices.IndexFunc(jobs, func(j *pipeline.Job) bool { return j == p.resume })
 	if start < 0 {
 		start, p.held = 0, p.held[:0]
@@ -224,9 +225,6 @@
 			p.CutShort++
 			break
 		}
-		if j.FirstSeen == 0 {
-			j.FirstSeen = int64(now)
-		}
 		p.place(j, rooms, now)
 		if j.OpenCount() > 0 {
 			left := p.preempt(j, rooms, now)
@@ -256,15 +254,32 @@
 	host *fleet.Host
 }
 
+// gangPatience is how long a gang waits in the order of readiness. The largest
+// are to begin within four minutes; in a full site the tasks in their places
+// need most of that to end, and small work that was ready before keeps coming
+// into the places that end first.
+const gangPatience = time.Minute
+
 // order puts jobs within their team's guarantee before others of the same
-// rank; within equal standing the order of readiness stays.
-func (p *Placer) order(jobs []*pipeline.Job) {
+// rank, and gangs that have waited for long before what is left; within equal
+// standing the order of readiness stays.
+func (p *Placer) order(jobs []*pipeline.Job, now step.Time) {
 	p.standing()
+	standing := func(j *pipeline.Job) int {
+		switch {
+		case j.Within:
+			return 2
+		case j.Shape == pipeline.Gang && j.N > 1 && int64(now)-j.FirstSeen > int64(gangPatience):
+			return 1
+		default:
+			return 0
+		}
+	}
 	sort.SliceStable(jobs, func(a, b int) bool {
 		if jobs[a].Rank != jobs[b].Rank {
 			return jobs[a].Rank > jobs[b].Rank
 		}
-		return jobs[a].Within && !jobs[b].Within
+		return standing(jobs[a]) > standing(jobs[b])
 	})
 }
 
