Machines on which nothing is to be stopped cost nothing at each step

Now a set of machines is kept that changes with evictions and final marks, and the rest is looked over four times a second.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -259,8 +259,8 @@
 	if now-n.fleetAt >= fleetEvery {
 		n.fleetAt = now
 		n.fleet.Tick(now, n.lead, out)
+		n.drain(now)
 	}
-	n.drain(now)
 	n.rental.Tick(now, n.lead, n.lead.Cond(), n.silent(), out)
 	since := now - n.roundAt
 	n.jobs.Changed = n.jobs.Changed || n.rental.Replan
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -63,12 +65,14 @@
 
 // Fleet is the table of machines.
 type Fleet struct {
-	Names *pipeline.Names
-	Jobs  *pipeline.Table
-	Hosts []*Host // by index, nil if gone
-	log   *slog.Logger
-	calls map[uint64]*Host // direct commands in flight, nil: nothing is to be learnt
-	ratio map[int]float64  // run time against estimate, per class
+	Names  *pipeline.Names
+	Jobs   *pipeline.Table
+	Hosts  []*Host // by index, nil if gone
+	log    *slog.Logger
+	calls  map[uint64]*Host // direct commands in flight, nil: nothing is to be learnt
+	toStop map[int]bool     // machines on which a task is to be stopped
+	lookAt step.Time
+	ratio  map[int]float64 // run time against estimate, per class
 
 	// Silent is how long a machine may be quiet before that tells something.
 	Silent step.Time
@@ -76,7 +80,7 @@
 
 // New returns an empty fleet.
 func New(n *pipeline.Names, t *pipeline.Table, log *slog.Logger) *Fleet {
-	return &Fleet{Names: n, Jobs: t, log: log, calls: map[uint64]*Host{}, ratio: map[int]float64{}}
+	return &Fleet{Names: n, Jobs: t, log: log, calls: map[uint64]*Host{}, toStop: map[int]bool{}, ratio: map[int]float64{}}
 }
 
 // Host returns a machine by name, adding it when new.
@@ -100,7 +104,10 @@
 }
 
 // Forget drops what only a leader knows.
-func (f *Fleet) Forget() { f.Hosts = nil }
+func (f *Fleet) Forget() {
+	f.Hosts = nil
+	clear(f.toStop)
+}
 
 // Up tells whether a machine can take tasks now.
 func (h *Host) Up(now step.Time, silent time.Duration) bool {
@@ -121,6 +128,7 @@
 	deafMargin  = 3 * time.Second
 	directEvery = time.Second
 	showEvery   = 10 * time.Second
+	lookEvery   = 250 * time.Millisecond // between two looks at all machines in use
 	directWait  = 3 * time.Second
 	// A job that failed on this many machines is taken to be at fault itself.
 	faultyHosts = 3
@@ -536,6 +544,7 @@
 		if !e.Evict {
 			e.Evict, e.Wind = true, j.SnapCost+1
 		}
+		f.stopSoon(e)
 		if !e.Durable {
 			f.Jobs.Clear(e)
 		}
@@ -562,6 +571,7 @@
 		return
 	}
 	e.Evict, e.Wind = true, wind
+	f.stopSoon(e)
 	if !e.Durable {
 		f.Jobs.Clear(e)
 	}
@@ -586,17 +596,21 @@
 }
 
 // Tick sends stops straight to workers, finds machines whose tasks are surely
-// gone and re-arms gangs whose old attempt has ended.
+// gone and re-arms gangs whose old attempt has ended. Machines on which nothing
+// is to be stopped cost nothing.
 func (f *Fleet) Tick(now step.Time, term Term, out *step.Out) {
-	for _, h := range f.Hosts {
-		if h == nil {
-			continue
-		}
-		if len(f.Jobs.OnHost(h.Index)) > 0 {
-			h.IdleFrom = now
+	for _, j := range f.Jobs.TakeEnded() {
+		j.Entries(f.stopSoon)
+	}
+	for _, i := range slices.Sorted(maps.Keys(f.toStop)) {
+		if h := f.At(i); h == nil || !f.directStops(h, now, term, out) {
+			delete(f.toStop, i)
 		}
-		f.directStops(h, now, term, out)
 	}
+	if now-f.lookAt < lookEvery {
+		return
+	}
+	f.lookAt = now
 	f.Jobs.HostsInUse(func(i int) {
 		h := f.At(i)
 		if h == nil {
@@ -631,27 +645,30 @@
 	f.Jobs.Changed = true
 }
 
+// stopSoon notes that a task is to be stopped.
+func (f *Fleet) stopSoon(e *pipeline.Entry) { f.toStop[e.Host] = true }
+
 // directStops sends stops that cannot wait for the next report. Executed
-// late they do no harm: they name an attempt, and attempts are not reused.
-func (f *Fleet) directStops(h *Host, now step.Time, term Term, out *step.Out) {
-	if h.Heard == 0 || h.Addr == "" || now-h.direct < directEvery {
-		return
-	}
-	// Most of the time nothing is to be stopped: only then is there a list to
-	// sort. This runs for every machine at every step.
+// late they do no harm: they name an attempt, and attempts are not reused. It
+// tells whether a task on the machine is still to be stopped.
+func (f *Fleet) directStops(h *Host, now step.Time, term Term, out *step.Out) (more bool) {
+	ready := h.Heard != 0 && h.Addr != "" && now-h.direct >= directEvery
 	var orders []Order
 	for e := range f.Jobs.OnHost(h.Index) {
-		if stop, wind := f.mustStop(e); stop && e.Durable && e.Wish == pipeline.Keep && e.Seen != pipeline.Unseen && e.Seen < pipeline.Saving {
+		stop, wind := f.mustStop(e)
+		more = more || stop
+		if ready && stop && e.Durable && e.Wish == pipeline.Keep && e.Seen != pipeline.Unseen && e.Seen < pipeline.Saving {
 			orders = append(orders, Order{Verb: "stop", Shard: shardName(e), Try: e.Try, Wind: &wind})
 		}
 	}
 	sort.Slice(orders, func(a, b int) bool { return orders[a].Shard < orders[b].Shard })
 	if len(orders) == 0 {
-		return
+		return more
 	}
 	h.direct = now
 	body, _ := json.Marshal(direct{term.Fence(), h.Tenure, orders})
 	f.calls[out.Call(h.Addr, "POST", "/do", body, directWait)] = nil
+	return more
 }
 
 // Show tells a machine our fence by a command without orders. A leader that
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -32,6 +32,7 @@
 	waiting  map[string][]*Job // upstream id -> jobs held by it
 	dirty    map[*Job]bool
 	free     []int
+	ended    map[*Job]bool // marked while tasks of theirs may be on machines
 
 	// Now is the steady time of the input that is being handled.
 	Now int64
@@ -43,7 +44,7 @@
 // service's limits.
 func NewTable(n *Names, valueBytes, txnOps int) *Table {
 	return &Table{Names: n, chunkLen: max(16, min(1024, valueBytes/32)), txnOps: txnOps, byID: map[string]*Job{}, Finals: map[string]Final{},
-		byHost: map[int]map[*Entry]bool{}, team: map[int]Usage{}, waiting: map[string][]*Job{}, dirty: map[*Job]bool{}}
+		byHost: map[int]map[*Entry]bool{}, team: map[int]Usage{}, waiting: map[string][]*Job{}, dirty: map[*Job]bool{}, ended: map[*Job]bool{}}
 }
 
 // Job returns an unfinished job, or one that is finished but not cleaned up.
@@ -120,6 +121,7 @@
 	}
 	delete(t.byID, j.ID)
 	delete(t.dirty, j)
+	delete(t.ended, j)
 	t.Jobs[j.Index] = nil
 	t.free = append(t.free, j.Index)
 }
@@ -278,6 +280,9 @@
 	t.Finals[id] = f
 	if j := t.byID[id]; j != nil {
 		j.Final = f.Phase
+		if j.active > 0 {
+			t.ended[j] = true
+		}
 		// A placement that is not stored by now never will be: its write
 		// requires that there is no final mark.
 		for i := range j.Chunk {
@@ -292,6 +297,17 @@
 	}
 }
 
+// TakeEnded returns, once each, the jobs that are over while tasks of theirs
+// may be on machines.
+func (t *Table) TakeEnded() []*Job {
+	list := make([]*Job, 0, len(t.ended))
+	for j := range t.ended {
+		list = append(list, j)
+	}
+	clear(t.ended)
+	return list
+}
+
 // Held returns the jobs that an upstream mark may have freed, for their
 // owners to mark ready.
 func (t *Table) Held() []*Job {
@@ -455,12 +471,16 @@
 		}
 	}
 	clear(t.dirty)
+	clear(t.ended)
 	for _, j := range t.Jobs {
 		// All tasks are logged as done and the leader that logged it is gone:
 		// nothing else would ever mark the job.
 		if j != nil && j.complete() {
 			t.dirty[j] = true
 		}
+		if j != nil && j.Final != Queued && j.active > 0 {
+			t.ended[j] = true
+		}
 	}
 	t.Changed = true
 }
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -296,6 +296,9 @@
 	}
 	r.lookAt = now
 	for _, h := range r.fleet.Hosts {
+		if h != nil && len(r.jobs.OnHost(h.Index)) > 0 {
+			h.IdleFrom = now
+		}
 		// A retirement whose write was refused is logged again.
 		if h != nil && h.Retiring && r.retired[h.Name] == 0 && !r.returning[h.Name] {
 			r.Retire(h, now, term)
