Read-over: one walk over the jobs a round, demand counted once a beat, what was dead or told wrongly

A round listed and sorted the unfinished jobs twice, once for those that wait and once for the guarantees: now the second is the first, filtered. A beat asked for our demand twice. Behaviour is meant to be as before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -156,11 +156,13 @@
 
 // share sets our part of the state service's rates by what each controller
 // says it could use; one that we do not hear counts with its sure part.
-func (n *Node) share(now step.Time) {
+// It returns what we could use ourselves.
+func (n *Node) share(now step.Time) (requests, writes float64) {
 	s := n.cfg.Settings.State
-	requests, writes := n.store.Demand(now)
+	requests, writes = n.store.Demand(now)
 	n.store.SetShare(n.split(s.RPS, requests, func(f *peer.Frame) uint16 { return f.Requests }),
 		n.split(s.WriteRPS, writes, func(f *peer.Frame) uint16 { return f.Writes }))
+	return requests, writes
 }
 
 func (n *Node) split(rate, own float64, want func(f *peer.Frame) uint16) float64 {
@@ -381,8 +383,7 @@
 	if n.leading {
 		f.Fence = n.lead.Fence()
 	}
-	n.share(now)
-	requests, writes := n.store.Demand(now)
+	requests, writes := n.share(now)
 	f.Requests, f.Writes = uint16(min(requests, math.MaxUint16)), uint16(min(writes, math.MaxUint16))
 	data := peer.Append(nil, &f)
 	for i := range n.peers {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -239,8 +239,7 @@
 		return
 	}
 	if h.Deaf != 0 {
-		// A session that outlives the lease has heard us; so has one that
-		// shows something it was told.
+		// A session that outlives the lease has heard us.
 		if h.Tenure == h.deafTenure && now-h.Deaf > term.Lease()+deafMargin {
 			f.log.Info("machine hears us again", "host", h.Name)
 			h.Deaf = 0
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -219,6 +219,9 @@
 // OpenCount counts the tasks that wait to be placed.
 func (j *Job) OpenCount() int { return max(0, j.N-j.done-j.active-len(j.doneUnlog)) }
 
+// Waits tells whether an unfinished ready job has tasks to place.
+func (j *Job) Waits(now int64) bool { return j.OpenCount() > 0 && !j.Breaking && j.Parked <= now }
+
 // Phase is what users are told.
 func (j *Job) Phase() Phase {
 	if j.Final != Queued {
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -353,24 +353,6 @@
 	}
 }
 
-// Ready returns unfinished ready jobs with tasks to place, the more important
-// first and then in the order in which they became ready.
-func (t *Table) Ready(now int64) []*Job {
-	var list []*Job
-	for _, j := range t.Jobs {
-		if j != nil && j.Stamp != 0 && j.Ready && j.Final == Queued && j.OpenCount() > 0 && !j.Breaking && j.Parked <= now {
-			list = append(list, j)
-		}
-	}
-	sort.Slice(list, func(a, b int) bool {
-		if list[a].Rank != list[b].Rank {
-			return list[a].Rank > list[b].Rank
-		}
-		return list[a].Order < list[b].Order
-	})
-	return list
-}
-
 // Unfinished returns the ready jobs that are not over, in the order in which
 // they became ready.
 func (t *Table) Unfinished() []*Job {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -199,8 +199,10 @@
 // point were promised: else the less important ones behind them would take it.
 func (p *Placer) Round(now step.Time) (blocked []*pipeline.Job, rooms []*Room) {
 	rooms = p.Rooms(now)
-	jobs := p.Jobs.Ready(int64(now))
-	p.order(jobs, now)
+	all := p.Jobs.Unfinished()
+	p.standing(all)
+	jobs := slices.DeleteFunc(all, func(j *pipeline.Job) bool { return !j.Waits(int64(now)) })
+	order(jobs, now)
 	start := slices.IndexFunc(jobs, func(j *pipeline.Job) bool { return j == p.resume })
 	if start < 0 {
 		start, p.held = 0, p.held[:0]
@@ -263,8 +265,7 @@
 // order puts jobs within their team's guarantee before others of the same
 // rank, and gangs that have waited for long before what is left; within equal
 // standing the order of readiness stays.
-func (p *Placer) order(jobs []*pipeline.Job, now step.Time) {
-	p.standing()
+func order(jobs []*pipeline.Job, now step.Time) {
 	standing := func(j *pipeline.Job) int {
 		switch {
 		case j.Within:
@@ -286,8 +287,7 @@
 // standing finds the jobs that are within their team's guarantee: those that
 // fit there together with the team's unfinished jobs from before. A job must
 // use something that is guaranteed; what is not guaranteed does not count.
-func (p *Placer) standing() {
-	all := p.Jobs.Unfinished()
+func (p *Placer) standing(all []*pipeline.Job) {
 	sum := map[int]pipeline.Usage{}
 	p.lowest = pipeline.Production
 	for _, j := range all {
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -54,9 +54,6 @@
 	try := p.attempt(j)
 	for _, k := range best {
 		for _, e := range k.victims {
-			if e.Evict {
-				continue // stopped together with another victim
-			}
 			p.Fleet.Evict(e, e.Job.SnapCost+1)
 			k.room.Leaving = append(k.room.Leaving, e)
 			p.leave(e)
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sort"
 	"strconv"
 	"strings"
@@ -209,12 +210,8 @@
 		// Many jobs alike, their ids counted up.
 		accepted := 0
 		for i := range int(a.num("count", "1")) {
-			one := Args{"id": fmt.Sprintf("req-%06d", int(a.num("from", "1"))+i)}
-			for k, v := range a {
-				if k != "id" {
-					one[k] = v
-				}
-			}
+			one := maps.Clone(a)
+			one["id"] = fmt.Sprintf("req-%06d", int(a.num("from", "1"))+i)
 			if status, _ := w.Submit(one); status == 200 || status == 201 {
 				accepted++
 			}
