Fewer sockets than machines: connections of workers end with their answer

Now beyond its room a worker's connection ends with its answer and it dials again for its next report; room for users, probes and outgoing calls is kept; a worker that rests gives way only after all users. Closing the least recently used first was weighed for the ordinary case and not taken: workers report in turn, so each would lose its connection just before it needs it.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"container/list"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -50,6 +51,9 @@
 	// use, and for 1/outgoingRoom of all sockets at least.
 	outgoingMore = 8
 	outgoingRoom = 16
+	// Workers keep their connections while these leave 1/userRoom of all
+	// sockets, beyond the outgoing ones' room, to users and probes.
+	userRoom = 8
 )
 
 type connKind uint8
@@ -73,8 +77,30 @@
 	call   step.Call
 	since  step.Time // of the last activity
 	half   bool      // part of a request is buffered
-	held   bool      // a worker's, a probe's or a peer's: not closed to make room
-	gone   bool      // being closed
+	from   party
+	gone   bool          // being closed
+	rest   *list.Element // in the list of its party's idle connections
+}
+
+// party is who is at the other end of an incoming connection, by what it asked
+// last.
+type party uint8
+
+const (
+	user party = iota
+	worker
+	probe
+	parties
+)
+
+func partyOf(path string) party {
+	switch path {
+	case "/hello":
+		return worker
+	case "/healthz":
+		return probe
+	}
+	return user
 }
 
 // loopBox gives the stored loop one concrete type.
@@ -94,14 +120,17 @@
 	lastConn uint64
 	conns    map[uint64]*conn
 	incoming int
-	idle     map[string][]*conn
-	peers    []*peerLink
-	pending  []event // raised while a step is being carried out
-	inStep   bool
-	expiry   map[uint64]step.Time // call ID -> deadline
-	calls    map[uint64]*conn
-	swept    step.Time
-	failed   error
+	workers  int // connections of workers
+	// Incoming connections between two requests, least recently used first.
+	resting [parties]list.List
+	idle    map[string][]*conn
+	peers   []*peerLink
+	pending []event // raised while a step is being carried out
+	inStep  bool
+	expiry  map[uint64]step.Time // call ID -> deadline
+	calls   map[uint64]*conn
+	swept   step.Time
+	failed  error
 }
 
 type peerLink struct {
@@ -228,11 +257,13 @@
 	}
 	c.busy = false
 	c.since = e.now()
+	c.close = c.close || (c.from == worker && e.workers > e.workerRoom())
 	_, _ = c.g.Write(httpwire.AppendResponse(nil, r.Status, r.Body, r.RetryAfter, c.close))
 	if c.close {
 		e.drop(c)
 		return
 	}
+	c.rest = e.resting[c.from].PushBack(c)
 	if c.g.InboundBuffered() > 0 {
 		e.pending = append(e.pending, func() { e.readHTTP(c) })
 	}
@@ -325,35 +356,64 @@
 	c := &conn{kind: kindHTTP, g: g}
 	if g.LocalAddr().String() == e.cfg.PeerBind {
 		c.kind = kindPeerIn
-		c.held = true
 	} else if !e.makeRoom() {
 		return nil, gnet.Close
 	}
 	e.incoming++
 	g.SetContext(c)
 	e.add(c)
+	if c.kind == kindHTTP {
+		c.rest = e.resting[user].PushBack(c)
+	}
 	return nil, gnet.None
 }
 
-// makeRoom tells whether one more incoming connection may stay. Machines may
-// be nearly as many as sockets: workers and probes hold theirs, and the user
-// connection that has been idle for longest gives way.
+// outgoingKept is how many sockets are kept for outgoing connections.
+func (e *engine) outgoingKept() int {
+	return max(len(e.conns)-e.incoming+outgoingMore, e.cfg.MaxConnections/outgoingRoom)
+}
+
+// workerRoom is how many workers may stay connected between two reports.
+// Machines may be more than sockets: beyond that a worker is told with its
+// answer that the connection ends, and dials again for its next report. Closed
+// with the answer, it never meets a report that is on its way; and of workers
+// that report in turn, closing the one that was answered longest ago would end
+// each connection just before it is needed.
+func (e *engine) workerRoom() int {
+	return e.cfg.MaxConnections - e.outgoingKept() - e.cfg.MaxConnections/userRoom
+}
+
+// makeRoom tells whether one more incoming connection may stay. The user
+// connection that has been idle for longest gives way, with none left a
+// probe's, then a worker's; none with an answer due.
 func (e *engine) makeRoom() bool {
-	outgoing := len(e.conns) - e.incoming
-	if e.incoming+max(outgoing+outgoingMore, e.cfg.MaxConnections/outgoingRoom) < e.cfg.MaxConnections {
+	if e.incoming+e.outgoingKept() < e.cfg.MaxConnections {
 		return true
 	}
-	var idlest *conn
-	for _, c := range e.conns {
-		if c.kind == kindHTTP && !c.held && !c.busy && !c.half && !c.gone && (idlest == nil || c.since < idlest.since) {
-			idlest = c
+	for _, p := range []party{user, probe, worker} {
+		if first := e.resting[p].Front(); first != nil {
+			e.drop(first.Value.(*conn))
+			return true
 		}
 	}
-	if idlest == nil {
-		return false
+	return false
+}
+
+// unrest takes a connection off the list of those between two requests.
+func (e *engine) unrest(c *conn) {
+	if c.rest != nil {
+		e.resting[c.from].Remove(c.rest)
+		c.rest = nil
+	}
+}
+
+func (e *engine) setParty(c *conn, p party) {
+	if c.from == worker {
+		e.workers--
+	}
+	if c.from = p; p == worker {
+		e.workers++
 	}
-	e.drop(idlest)
-	return true
 }
 
 func (e *engine) add(c *conn) {
@@ -364,6 +424,7 @@
 
 func (e *engine) drop(c *conn) {
 	c.gone = true
+	e.unrest(c)
 	if c.g != nil {
 		_ = c.g.Close()
 	}
@@ -375,6 +436,8 @@
 		return gnet.None
 	}
 	delete(e.conns, c.id)
+	e.unrest(c)
+	e.setParty(c, user)
 	switch c.kind {
 	case kindHTTP, kindPeerIn:
 		e.incoming--
@@ -432,6 +495,7 @@
 	if len(in) == 0 {
 		return
 	}
+	e.unrest(c)
 	m, n, err := httpwire.ParseRequest(in)
 	if errors.Is(err, httpwire.ErrIncomplete) {
 		c.half = true
@@ -445,7 +509,7 @@
 		return
 	}
 	c.busy, c.close = true, m.Close
-	c.held = c.held || m.Target == "/hello" || m.Target == "/healthz"
+	e.setParty(c, partyOf(m.Target))
 	r := step.Request{Conn: c.id, Method: m.Method, Path: m.Target, Body: append([]byte(nil), m.Body...)}
 	_, _ = c.g.Discard(n)
 	e.core.Request(e.now(), r, &e.out)
