Reports are compared, rooms kept, waiting answers looked at when due: cost follows change

Cause: each input walked over all waiting reports (some hundred), each return sorted all names, each round rebuilt every room from maps; a report that says what the last one said was decoded again. Now reports wait in two queues and are looked at when their machine changes, a round is over or their time has come; held ones take a quarter of the sockets at most; rooms are an index that the entries' changes mark as stale; a report equal but for its tick is not decoded.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,6 +42,9 @@
 	// can change meanwhile, and a start that is decided then need not wait for
 	// the next report. The worker waits for 4 s.
 	idleWait = 2500 * time.Millisecond
+	// Reports held so take one in so many sockets at most: where machines are
+	// more than sockets, the others need them.
+	idleSockets = 4
 	// A worker that is back within this time after it was sent to the leader
 	// did not reach it; its reports are passed on for a while.
 	backSoon  = 20 * time.Second
@@ -61,13 +64,6 @@
 	beat  peer.Frame
 }
 
-// waitingReport is a report that was taken in and not answered yet.
-type waitingReport struct {
-	from   caller
-	report *fleet.Report
-	since  step.Time
-}
-
 // caller is where an answer to a report goes: to a connection of ours, or
 // through the peer that passed the report on.
 type caller struct {
@@ -109,7 +105,9 @@
 	heardAny  step.Time // a worker's report, as leader
 	blocked   []*pipeline.Job
 	rooms     []*place.Room
-	waiting   []waitingReport
+	parser    fleet.Parser
+	work      Work
+	waiting   reports
 	passages  map[string]*passage
 	relayed   map[uint64]pendingRelay
 	lastRelay uint64
@@ -268,7 +266,9 @@
 	n.jobs.Changed = n.jobs.Changed || n.rental.Replan
 	if (n.jobs.Changed && since >= time.Duration(n.cfg.Operator.Place.Round)) || since >= roundIdle {
 		n.roundAt, n.jobs.Changed = now, false
+		n.takeTouched()
 		n.startBudget()
+		n.work.Rounds++
 		n.blocked, n.rooms = n.placer.Round(now)
 		if now-n.planAt >= planEvery || n.rental.Replan {
 			n.planAt, n.rental.Replan = now, false
@@ -277,6 +277,7 @@
 	}
 	if now-n.packAt >= packEvery && n.rooms != nil {
 		n.packAt = now
+		n.takeTouched()
 		n.startBudget()
 		for _, h := range n.placer.Pack(now, n.rooms, n.blocked) {
 			n.log.Info("moving work off", "host", h.Name)
@@ -338,6 +339,22 @@
 	n.placer.CutShort = 0
 }
 
+// Work counts what was done on behalf of the inputs: at any size it is to
+// follow what has changed.
+type Work struct {
+	Reports       int // that were read
+	Decoded, Same int // bytes of reports that were decoded, and compared only
+	Rounds        int
+	Counted       int // rooms that were counted anew
+}
+
+// Work returns the counts since the process began.
+func (n *Node) Work() Work {
+	w := n.work
+	w.Decoded, w.Same, w.Counted = n.parser.Decoded, n.parser.Same, n.placer.Counted
+	return w
+}
+
 // drain moves work off machines that the cloud is about to take.
 func (n *Node) drain(now step.Time) {
 	const lead = 4 * time.Second // for the stop to arrive and be answered
@@ -345,7 +362,7 @@
 		if h == nil || h.RecallAt == 0 {
 			continue
 		}
-		for e := range n.jobs.OnHost(h.Index) {
+		for _, e := range n.jobs.OnHost(h.Index) {
 			if e.Job.SnapEvery > 0 && h.RecallAt-now < config.Seconds(e.Job.SnapCost)+lead {
 				n.fleet.Evict(e, e.Job.SnapCost+1)
 			}
@@ -409,7 +426,7 @@
 				n.lead.SawFence(fr.Fence)
 			}
 		case peer.Relay:
-			rep, err := fleet.ParseReport(fr.Body)
+			rep, err := n.parser.Parse(fr.Body)
 			if err == nil && n.leading && n.lead.MayAnswer(now) {
 				n.report(now, caller{peer: i, relay: fr.ID}, rep, out)
 			} else {
@@ -478,14 +495,10 @@
 	}
 }
 
-type helloAnswer struct {
-	Fence  uint64        `json:"fence"`
-	Orders []fleet.Order `json:"orders"`
-}
-
 // hello takes a worker's report.
 func (n *Node) hello(now step.Time, r step.Request, out *step.Out) {
-	rep, err := fleet.ParseReport(r.Body)
+	n.work.Reports++
+	rep, err := n.parser.Parse(r.Body)
 	if err != nil {
 		out.Reply(r.Conn, 400, nil)
 		return
@@ -507,14 +520,10 @@
 	n.heardAny = now
 	// An older report that still waits has lost its worker, and its list
 	// proves nothing any more.
-	n.waiting = slices.DeleteFunc(n.waiting, func(w waitingReport) bool {
-		if w.report.Host != rep.Host {
-			return false
-		}
-		n.respond(w.from, 503, nil, out)
-		return true
-	})
-	n.waiting = append(n.waiting, waitingReport{from, rep, now})
+	w := &waitingReport{from: from, report: rep, host: n.names.Hosts.Index(rep.Host), since: now}
+	if old := n.waiting.add(w); old != nil {
+		n.respond(old.from, 503, nil, out)
+	}
 	if n.lead.Entitled(now) {
 		n.act(now, out)
 	}
@@ -584,41 +593,6 @@
 	since step.Time
 }
 
-// answer answers the reports whose consequences are stored: what completed
-// can then be reaped, and what takes its place started, in the same response.
-// A write takes milliseconds; a slow one is not waited for.
-func (n *Node) answer(now step.Time, out *step.Out) {
-	kept := n.waiting[:0]
-	for _, w := range n.waiting {
-		switch {
-		case !n.leading || !n.lead.MayAnswer(now):
-			n.respond(w.from, 503, nil, out)
-		case n.lead.Entitled(now) && n.holdAnswer(w, now-w.since):
-			kept = append(kept, w)
-		default:
-			orders := n.fleet.Orders(w.report, now, n.lead)
-			if orders == nil {
-				orders = []fleet.Order{}
-			}
-			body, _ := json.Marshal(helloAnswer{n.lead.Fence(), orders})
-			n.respond(w.from, 200, body, out)
-		}
-	}
-	n.waiting = kept
-}
-
-// holdAnswer tells whether the answer to a report may still gain something.
-func (n *Node) holdAnswer(w waitingReport, waited time.Duration) bool {
-	switch {
-	case waited < answerWait && n.jobs.Changed:
-		return true
-	case n.fleet.Idle(w.report):
-		return waited < idleWait
-	default:
-		return waited < answerWait && !n.fleet.Settled(w.report.Host)
-	}
-}
-
 func (n *Node) misdirect(conn uint64, out *step.Out) {
 	holder := n.lead.Holder()
 	if holder == "" || holder == n.cfg.Label {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -136,49 +135,6 @@
 	parkMost    = 5 * time.Minute
 )
 
-// Report is a worker's report.
-type Report struct {
-	Host   string   `json:"host"`
-	Addr   string   `json:"addr"`
-	Flavor string   `json:"flavor"`
-	Yard   string   `json:"yard"`
-	Spot   bool     `json:"loaners"`
-	Tenure uint64   `json:"tenure"`
-	Tick   uint64   `json:"tick"`
-	Fence  uint64   `json:"fence"`
-	Recall *float64 `json:"recall_s"`
-	Shards []Shard  `json:"shards"`
-}
-
-// Shard is one task in a report.
-type Shard struct {
-	Shard  string `json:"shard"`
-	Try    uint64 `json:"try"`
-	Phase  string `json:"phase"`
-	Cause  string `json:"cause"`
-	Stored bool   `json:"stored"`
-}
-
-// Order is a command to a worker.
-type Order struct {
-	Verb  string   `json:"verb"`
-	Shard string   `json:"shard"`
-	Try   uint64   `json:"try"`
-	Wind  *float64 `json:"wind_down_s,omitempty"`
-}
-
-// ParseReport reads and checks a report.
-func ParseReport(body []byte) (*Report, error) {
-	r := &Report{}
-	if err := json.Unmarshal(body, r); err != nil {
-		return nil, err
-	}
-	if r.Host == "" || r.Flavor == "" || r.Yard == "" || r.Tenure == 0 {
-		return nil, fmt.Errorf("report lacks a field")
-	}
-	return r, nil
-}
-
 // ParseShard splits a task's name into its job and number.
 func ParseShard(s string) (job string, task int, ok bool) {
 	i := strings.LastIndexByte(s, '/')
@@ -249,15 +205,12 @@
 		}
 		return
 	}
-	listed := make(map[string]bool, len(r.Shards))
-	for _, s := range r.Shards {
-		listed[s.Shard] = true
-	}
-	for e := range f.Jobs.OnHost(h.Index) {
+	for _, e := range f.Jobs.OnHost(h.Index) {
 		if e.Ordered == 0 || e.Ordered >= r.Tick || e.Seen != pipeline.Unseen {
 			continue
 		}
-		if listed[shardName(e)] {
+		name := shardName(e)
+		if slices.ContainsFunc(r.Shards, func(s Shard) bool { return s.Shard == name }) {
 			e.Missed = 0
 		} else if e.Missed++; e.Missed >= deafMisses {
 			f.deaf(h, now)
@@ -307,12 +260,8 @@
 
 // Settled tells whether nothing that concerns the machine is being stored:
 // an answer given now would not be followed by another in a moment.
-func (f *Fleet) Settled(host string) bool {
-	i, ok := f.Names.Hosts.Lookup(host)
-	if !ok {
-		return true
-	}
-	for e := range f.Jobs.OnHost(i) {
+func (f *Fleet) Settled(host int) bool {
+	for _, e := range f.Jobs.OnHost(host) {
 		if !e.Durable || e.Wish != pipeline.Keep {
 			return false
 		}
@@ -330,7 +279,7 @@
 	if h == nil || !h.Fenced || h.Deaf != 0 || h.Retiring || h.RecallAt != 0 {
 		return false
 	}
-	for e := range f.Jobs.OnHost(i) {
+	for _, e := range f.Jobs.OnHost(i) {
 		if e.Durable {
 			return false
 		}
@@ -542,6 +491,7 @@
 	j.Entries(func(e *pipeline.Entry) {
 		if !e.Evict {
 			e.Evict, e.Wind = true, j.SnapCost+1
+			f.Jobs.Touch(e.Host)
 		}
 		f.stopSoon(e)
 		if !e.Durable {
@@ -570,6 +520,7 @@
 		return
 	}
 	e.Evict, e.Wind = true, wind
+	f.Jobs.Touch(e.Host)
 	f.stopSoon(e)
 	if !e.Durable {
 		f.Jobs.Clear(e)
@@ -577,14 +528,10 @@
 }
 
 func (f *Fleet) sorted(h *Host) []*pipeline.Entry {
-	m := f.Jobs.OnHost(h.Index)
-	if len(m) == 0 {
+	if len(f.Jobs.OnHost(h.Index)) == 0 {
 		return nil
 	}
-	list := make([]*pipeline.Entry, 0, len(m))
-	for e := range m {
-		list = append(list, e)
-	}
+	list := slices.Clone(f.Jobs.OnHost(h.Index))
 	sort.Slice(list, func(a, b int) bool {
 		if list[a].Job.Order != list[b].Job.Order {
 			return list[a].Job.Order < list[b].Job.Order
@@ -653,7 +600,7 @@
 func (f *Fleet) directStops(h *Host, now step.Time, term Term, out *step.Out) (more bool) {
 	ready := h.Heard != 0 && h.Addr != "" && now-h.direct >= directEvery
 	var orders []Order
-	for e := range f.Jobs.OnHost(h.Index) {
+	for _, e := range f.Jobs.OnHost(h.Index) {
 		stop, wind := f.mustStop(e)
 		more = more || stop
 		if ready && stop && e.Durable && e.Wish == pipeline.Keep && e.Seen != pipeline.Unseen && e.Seen < pipeline.Saving {
@@ -703,7 +650,7 @@
 	}
 	delete(f.calls, d.ID)
 	if h != nil && d.Status == 409 {
-		if r, err := ParseReport(d.Body); err == nil && r.Fence < term.Fence() {
+		if r, err := parseReport(d.Body); err == nil && r.Fence < term.Fence() {
 			f.show(h, r.Tenure, term, out, nil)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"log/slog"
+	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +53,44 @@
 		}
 	}
 }
+
+// TestParser: a report that says what the last one said is not decoded again,
+// and comes out the same; whatever else differs is.
+func TestParser(t *testing.T) {
+	body := func(tick string, more string) []byte {
+		return []byte(`{"host":"i-1","addr":"10.1.0.1:9000","flavor":"f","yard":"a","loaners":true,"tenure":2,"tick":` + tick + `,"fence":3,` + more +
+			`"shards":[{"shard":"req-1/0","try":4,"phase":"running"}]}`)
+	}
+	var p Parser
+	for _, c := range []struct {
+		body    []byte
+		tick    uint64
+		decoded bool
+		what    string
+	}{
+		{body("7", ""), 7, true, "the first"},
+		{body("8", ""), 8, false, "the same"},
+		{body(" 10", ""), 10, true, "written otherwise"},
+		{body("11", `"recall_s":3.5,`), 11, true, "a notice"},
+		{body("12", `"recall_s":3.5,`), 12, false, "the same notice"},
+		{body("13", `"x":{"tick":13},`), 13, true, "two ticks"},
+		{body("14", `"x":{"tick":13},`), 14, true, "two ticks again"},
+		{[]byte(strings.Replace(string(body("15", "")), `"tenure":2`, `"tenure":3`, 1)), 15, true, "another session"},
+		{body("08", ""), 0, true, "not a number"},
+		{body("8.5", ""), 0, true, "not a whole number"},
+		{body("18446744073709551616", ""), 0, true, "too large a number"},
+	} {
+		before := p.Decoded
+		got, err := p.Parse(c.body)
+		if decoded := p.Decoded > before; decoded != c.decoded {
+			t.Errorf("%s: decoded %v", c.what, decoded)
+		}
+		want, wantErr := parseReport(c.body)
+		if (err == nil) != (wantErr == nil) || (err == nil && !reflect.DeepEqual(got, want)) {
+			t.Errorf("%s: %+v (%v), not %+v (%v)", c.what, got, err, want, wantErr)
+		}
+		if err == nil && got.Tick != c.tick {
+			t.Errorf("%s: tick %d", c.what, got.Tick)
+		}
+	}
+}
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -27,12 +28,14 @@
 	Jobs     []*Job // by index; nil once gone
 	byID     map[string]*Job
 	Finals   map[string]Final
-	byHost   map[int]map[*Entry]bool
+	byHost   [][]*Entry // by machine
 	team     map[int]Usage
 	waiting  map[string][]*Job // upstream id -> jobs held by it
 	dirty    map[*Job]bool
 	free     []int
 	ended    map[*Job]bool // marked while tasks of theirs may be on machines
+	touched  []int         // machines whose entries have changed, in that order
+	isListed map[int]bool  // those in touched
 
 	// Now is the steady time of the input that is being handled.
 	Now int64
@@ -44,27 +47,47 @@
 // service's limits.
 func NewTable(n *Names, valueBytes, txnOps int) *Table {
 	return &Table{Names: n, chunkLen: max(16, min(1024, valueBytes/32)), txnOps: txnOps, byID: map[string]*Job{}, Finals: map[string]Final{},
-		byHost: map[int]map[*Entry]bool{}, team: map[int]Usage{}, waiting: map[string][]*Job{}, dirty: map[*Job]bool{}, ended: map[*Job]bool{}}
+		team: map[int]Usage{}, waiting: map[string][]*Job{}, dirty: map[*Job]bool{}, ended: map[*Job]bool{},
+		isListed: map[int]bool{}}
 }
 
 // Job returns an unfinished job, or one that is finished but not cleaned up.
 func (t *Table) Job(id string) *Job { return t.byID[id] }
 
-// OnHost returns the entries of a machine.
-func (t *Table) OnHost(host int) map[*Entry]bool { return t.byHost[host] }
+// OnHost returns the entries of a machine, as they are now: what is removed
+// meanwhile stays in the list that was returned.
+func (t *Table) OnHost(host int) []*Entry {
+	if host < 0 || host >= len(t.byHost) {
+		return nil
+	}
+	return t.byHost[host]
+}
 
 // HostsInUse calls f for every machine with entries.
 func (t *Table) HostsInUse(f func(host int)) {
-	hosts := make([]int, 0, len(t.byHost))
-	for h := range t.byHost {
-		hosts = append(hosts, h)
+	for h, list := range t.byHost {
+		if len(list) > 0 {
+			f(h)
+		}
 	}
-	sort.Ints(hosts)
-	for _, h := range hosts {
-		f(h)
+}
+
+// Touch notes that something about the entries of a machine has changed.
+func (t *Table) Touch(host int) {
+	if !t.isListed[host] {
+		t.isListed[host] = true
+		t.touched = append(t.touched, host)
 	}
 }
 
+// TakeTouched returns, once each, the machines whose entries have changed.
+func (t *Table) TakeTouched() []int {
+	list := t.touched
+	t.touched = nil
+	clear(t.isListed)
+	return list
+}
+
 // Team returns what a team's tasks may be using.
 func (t *Table) Team(team int) Usage { return t.team[team] }
 
@@ -155,7 +178,10 @@
 }
 
 func (t *Table) recount(j *Job, sign float64) {
-	j.Entries(func(e *Entry) { t.count(e, sign) })
+	j.Entries(func(e *Entry) {
+		t.count(e, sign)
+		t.Touch(e.Host)
+	})
 }
 
 func (t *Table) count(e *Entry, sign float64) {
@@ -168,22 +194,18 @@
 func (t *Table) add(e *Entry) {
 	e.Job.active++
 	t.count(e, 1)
-	m := t.byHost[e.Host]
-	if m == nil {
-		m = map[*Entry]bool{}
-		t.byHost[e.Host] = m
+	for len(t.byHost) <= e.Host {
+		t.byHost = append(t.byHost, nil)
 	}
-	m[e] = true
+	t.byHost[e.Host] = append(slices.Clip(t.byHost[e.Host]), e)
+	t.Touch(e.Host)
 }
 
 func (t *Table) remove(e *Entry) {
 	e.Job.active--
 	t.count(e, -1)
-	m := t.byHost[e.Host]
-	delete(m, e)
-	if len(m) == 0 {
-		delete(t.byHost, e.Host)
-	}
+	t.Touch(e.Host)
+	t.byHost[e.Host] = slices.DeleteFunc(slices.Clone(t.byHost[e.Host]), func(o *Entry) bool { return o == e })
 }
 
 // chunk returns the job's chunk c, growing the list.
@@ -234,6 +256,9 @@
 			ch.Entries[a.task] = e
 			t.add(e)
 		}
+		if !e.Durable {
+			t.Touch(host)
+		}
 		e.Durable, e.sent = true, true
 		stored[a.task] = e
 	}
@@ -282,6 +307,7 @@
 		j.Final = f.Phase
 		if j.active > 0 {
 			t.ended[j] = true
+			j.Entries(func(e *Entry) { t.Touch(e.Host) })
 		}
 		// A placement that is not stored by now never will be: its write
 		// requires that there is no final mark.
@@ -404,6 +430,7 @@
 	}
 	if e.Wish != Clear {
 		e.Wish = Clear
+		t.Touch(e.Host)
 		t.touch(e.Job, ch)
 	}
 }
@@ -417,6 +444,7 @@
 	if e := ch.Entries[task]; e != nil {
 		if e.Wish != MarkDone {
 			e.Wish = MarkDone
+			t.Touch(e.Host)
 			t.touch(j, ch)
 		}
 		return
@@ -448,6 +476,7 @@
 					t.remove(e)
 					continue
 				}
+				t.Touch(e.Host)
 				e.Wish, e.Seen, e.Evict, e.Started, e.Placed, e.Ordered, e.Missed = Keep, Unseen, false, 0, 0, 0, 0
 			}
 		}
@@ -585,6 +614,9 @@
 // write queues the write of a chunk. What it holds is decided when its turn
 // comes: a busy job's tasks share one write however many change meanwhile.
 func (t *Table) write(j *Job, c int, now time.Duration, term store.Cond, s Submitter) {
+	if j.Chunk[c].queued[1] {
+		return // it will carry whatever has changed by then
+	}
 	kind, priority := 0, store.Progress
 	for _, e := range j.Chunk[c].Entries {
 		if e.Wish == Keep && !e.Durable {
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -20,18 +20,18 @@
 // offer is the cheapest next pick on one machine.
 type offer struct {
 	pick
-	left Room // as the picks before leave it
-	rank int  // of the machine among the others, so that equal costs keep an order
+	left *Room // as the picks before leave it, nil: none yet
+	rank int   // of the machine among the others, so that equal costs keep an order
 }
 
-type offers []*offer
+type offers []offer
 
 func (o offers) Len() int { return len(o) }
 func (o offers) Less(a, b int) bool {
 	return o[a].cost < o[b].cost || (o[a].cost == o[b].cost && o[a].rank < o[b].rank)
 }
 func (o offers) Swap(a, b int) { o[a], o[b] = o[b], o[a] }
-func (o *offers) Push(x any)   { *o = append(*o, x.(*offer)) }
+func (o *offers) Push(x any)   { *o = append(*o, x.(offer)) }
 func (o *offers) Pop() any {
 	old := *o
 	last := old[len(old)-1]
@@ -45,33 +45,38 @@
 // in any. Nothing is changed by it.
 func (p *Placer) choose(j *pipeline.Job, rooms []*Room, zone, n int, price pricing) []pick {
 	taken := map[*pipeline.Entry]bool{}
-	var list offers
+	list := p.offers[:0]
 	for i, r := range rooms {
-		if (zone != anyZone && r.Zone != zone) || !r.Suits(&j.Spec) || j.BadHosts[r.Host.Index] || r.Host.Draining {
+		if (zone != anyZone && r.Zone != zone) || !r.Suits(&j.Spec) || !r.holds(&j.Spec) || j.BadHosts[r.Host.Index] || r.Host.Draining {
 			continue
 		}
 		if cost, victims, ok := price(r, taken); ok {
-			list = append(list, &offer{pick{r, cost, victims}, *r, i})
+			list = append(list, offer{pick: pick{r, cost, victims}, rank: i})
 		}
 	}
+	p.offers = list
 	heap.Init(&list)
 	inZone := p.Zones(j)
 	var picks []pick
 	for len(picks) < n && len(list) > 0 {
-		o := list[0]
+		o := &list[0]
 		if ZoneRoom(j, inZone, o.room.Zone) <= 0 {
 			heap.Pop(&list)
 			continue
 		}
 		picks = append(picks, o.pick)
 		inZone[o.room.Zone]++
+		if o.left == nil {
+			left := *o.room
+			o.left = &left
+		}
 		for _, e := range o.victims {
 			taken[e] = true
 			o.left.give(&e.Job.Spec)
 		}
 		o.left.Take(&j.Spec, 1)
 		var ok bool
-		if o.cost, o.victims, ok = price(&o.left, taken); ok {
+		if o.cost, o.victims, ok = price(o.left, taken); ok {
 			heap.Fix(&list, 0)
 		} else {
 			heap.Pop(&list)
--- a/internal/place/pack.go
+++ b/internal/place/pack.go
@@ -67,7 +67,7 @@
 		if receives[d.Host] || !p.fitsElsewhere(d, left, receives) {
 			continue
 		}
-		for e := range p.Jobs.OnHost(d.Host.Index) {
+		for _, e := range p.Jobs.OnHost(d.Host.Index) {
 			p.Fleet.Evict(e, e.Job.SnapCost+1)
 		}
 		d.Host.Draining = true
@@ -90,7 +90,7 @@
 		return false
 	}
 	longest := 0.0
-	for e := range p.Jobs.OnHost(r.Host.Index) {
+	for _, e := range p.Jobs.OnHost(r.Host.Index) {
 		j := e.Job
 		if !e.Durable || e.Evict || e.Wish != pipeline.Keep || e.Seen != pipeline.RunningTask || j.SnapEvery == 0 ||
 			(j.Shape == pipeline.Gang && j.N > 1) || int64(now)-e.Started < countsAfter {
@@ -104,13 +104,7 @@
 // fitsElsewhere puts the tasks of a machine on the others, in thought; what it
 // takes of them is kept if all fit.
 func (p *Placer) fitsElsewhere(d *Room, left []*Room, receives map[*fleet.Host]bool) bool {
-	entries := slices.Collect(func(yield func(*pipeline.Entry) bool) {
-		for e := range p.Jobs.OnHost(d.Host.Index) {
-			if !yield(e) {
-				return
-			}
-		}
-	})
+	entries := slices.Clone(p.Jobs.OnHost(d.Host.Index))
 	slices.SortFunc(entries, func(a, b *pipeline.Entry) int {
 		return cmp.Or(cmp.Compare(b.Job.Cores, a.Job.Cores), cmp.Compare(a.Job.Order, b.Job.Order), cmp.Compare(a.Task, b.Task))
 	})
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -82,6 +82,12 @@
 	return max(n, 0)
 }
 
+// holds tells whether a task would fit if nothing else were there.
+func (r *Room) holds(s *pipeline.Spec) bool {
+	f := r.Flavor
+	return s.Cores <= f.Cores+slack && s.Cards <= f.Cards+slack && s.RAM <= f.RAM+slack
+}
+
 // Take uses room for n tasks.
 func (r *Room) Take(s *pipeline.Spec, n int) {
 	k := float64(n)
@@ -106,11 +112,15 @@
 	Report  step.Time // between two reports of a machine
 	Silent  step.Time // a machine not heard for this long gets nothing new
 
-	// CutShort counts the rounds that ran out of their budget.
-	CutShort int
+	// CutShort counts the rounds that ran out of their budget, Counted the
+	// machines whose room was counted anew.
+	CutShort, Counted int
 	// Elapsed tells how much of the budget is used; nil: no limit.
 	Elapsed func() bool
 
+	counted  []Room                 // by machine, as its entries leave it; no Flavor: to be counted
+	offers   offers                 // room for choose, and
+	cands    []candidate            // for victims, to work in
 	resume   *pipeline.Job          // where the last round ran out of time
 	held     []holding              // by the jobs before that
 	reserved int                    // tasks with a reservation in this round
@@ -118,25 +128,53 @@
 	leaving  map[int]pipeline.Usage // by team, of what this round stops
 }
 
+// Stale tells that what is on these machines has changed: their rooms are
+// counted anew when they are needed next. The others' are kept.
+func (p *Placer) Stale(hosts []int) {
+	for _, h := range hosts {
+		if h < len(p.counted) {
+			p.counted[h].Flavor = nil
+		}
+	}
+}
+
+// room counts what is left of a machine, unless nothing has changed there.
+func (p *Placer) room(h *fleet.Host, f *Flavor) *Room {
+	for len(p.counted) <= h.Index {
+		p.counted = append(p.counted, Room{})
+	}
+	r := &p.counted[h.Index]
+	if r.Flavor == f && r.Host == h {
+		return r
+	}
+	p.Counted++
+	*r = Room{Host: h, Flavor: f, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
+	for _, e := range p.Jobs.OnHost(h.Index) {
+		r.Take(&e.Job.Spec, 1)
+		if e.Evict {
+			r.Leaving = append(r.Leaving, e)
+		}
+	}
+	r.Leaving = slices.Clip(r.Leaving) // what a round adds to it is the round's
+	return r
+}
+
 // Rooms lists what is left of the machines that are up.
 func (p *Placer) Rooms(now step.Time) []*Room {
-	var rooms []*Room
+	all := make([]Room, 0, len(p.Fleet.Hosts))
 	for _, h := range p.Fleet.Hosts {
 		if h == nil || !h.Up(now, p.Silent) {
 			continue
 		}
-		f := p.Flavors.Get(h.Flavor)
-		if f == nil {
-			continue
+		if f := p.Flavors.Get(h.Flavor); f != nil {
+			r := *p.room(h, f)
+			r.Zone, r.Spot = h.Zone, h.Spot
+			all = append(all, r)
 		}
-		r := &Room{Host: h, Flavor: f, Zone: h.Zone, Spot: h.Spot, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
-		for e := range p.Jobs.OnHost(h.Index) {
-			r.Take(&e.Job.Spec, 1)
-			if e.Evict {
-				r.Leaving = append(r.Leaving, e)
-			}
-		}
-		rooms = append(rooms, r)
+	}
+	rooms := make([]*Room, len(all))
+	for i := range all {
+		rooms[i] = &all[i]
 	}
 	return rooms
 }
@@ -147,7 +185,7 @@
 func (p *Placer) RoomsAhead(now step.Time) (rooms []*Room, leaving []*pipeline.Entry) {
 	rooms = p.Rooms(now)
 	for _, r := range rooms {
-		for e := range p.Jobs.OnHost(r.Host.Index) {
+		for _, e := range p.Jobs.OnHost(r.Host.Index) {
 			switch {
 			case e.Evict && e.Job.Final == pipeline.Queued:
 				leaving = append(leaving, e)
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -102,15 +102,18 @@
 		(mine.Cards > 0 && j.Cards > 0 && o.Cards > 0 && u.Cards-gone.Cards > t.Cards+slack)
 }
 
+// candidate is a task that may be stopped, and what that costs.
+type candidate struct {
+	e    *pipeline.Entry
+	cost float64
+}
+
 // victims picks tasks to stop on a machine until the job fits, those that
 // lose least first. cost is in seconds of work lost or delayed.
 func (p *Placer) victims(j *pipeline.Job, r *Room, f Room, taken map[*pipeline.Entry]bool, now step.Time) (list []*pipeline.Entry, cost float64) {
-	type candidate struct {
-		e    *pipeline.Entry
-		cost float64
-	}
-	var cands []candidate
-	for e := range p.Jobs.OnHost(r.Host.Index) {
+	cands := p.cands[:0]
+	defer func() { p.cands = cands }()
+	for _, e := range p.Jobs.OnHost(r.Host.Index) {
 		if taken[e] || e.Evict || e.Wish != pipeline.Keep || e.Job.Final != pipeline.Queued || (e.Job.Shape == pipeline.Gang && e.Job.N > 1) || !p.outranks(j, e) {
 			continue
 		}
@@ -123,14 +126,19 @@
 		}
 		cands = append(cands, candidate{e, c})
 	}
+	if len(cands) == 0 {
+		return nil, 0
+	}
 	slices.SortFunc(cands, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.e.Job.Order, a.e.Job.Order), cmp.Compare(a.e.Task, b.e.Task))
 	})
-	for _, c := range cands {
-		list = append(list, c.e)
+	for i, c := range cands {
 		cost += c.cost
 		f.give(&c.e.Job.Spec)
 		if f.Fits(&j.Spec) > 0 {
+			for _, c := range cands[:i+1] {
+				list = append(list, c.e)
+			}
 			return list, cost
 		}
 	}
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -64,7 +64,7 @@
 	}
 	if !r.sorted {
 		r.sorted = true
-		for e := range p.Jobs.OnHost(r.Host.Index) {
+		for _, e := range p.Jobs.OnHost(r.Host.Index) {
 			at := p.Remaining(e, now)
 			if e.Evict {
 				at = e.Job.SnapCost
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -52,6 +52,7 @@
 	silentLost = 60 * time.Second
 	darkLost   = 150 * time.Second
 	lookEvery  = 500 * time.Millisecond // between two looks at all machines
+	giveEvery  = 100 * time.Millisecond // between two looks at what is to be returned
 	// A machine that is up and has not come over by then is shown our fence, so
 	// many at a look: a connection to a silent one is held for a while.
 	showAfter = 2 * time.Second
@@ -110,6 +111,7 @@
 	returned  map[string]step.Time // machines the cloud has taken back from us
 	since     step.Time
 	lookAt    step.Time
+	giveAt    step.Time
 	bootRatio map[int]float64 // of the time a type takes to come up to what the cloud says
 	dark      map[int]bool    // zones most of whose machines are silent
 	again     []retry         // hires to repeat
@@ -135,7 +137,7 @@
 	r.returning, r.logging, r.returned = map[string]bool{}, map[string]bool{}, map[string]step.Time{}
 	r.typesAt, r.listAt, r.listing = -typesEvery, -listEvery, false
 	clear(r.calls)
-	r.again, r.mayPlan, r.lookAt, r.dark = nil, false, 0, nil
+	r.again, r.mayPlan, r.lookAt, r.giveAt, r.dark = nil, false, 0, 0, nil
 }
 
 // Begin starts a term.
@@ -469,22 +471,24 @@
 }
 
 func (r *Rental) sendReturns(now step.Time, term store.Cond, out *step.Out) {
-	if len(r.retired) == 0 {
+	if len(r.retired) == 0 || now-r.giveAt < giveEvery {
 		return
 	}
+	r.giveAt = now
 	var hosts []string
-	for _, name := range slices.Sorted(maps.Keys(r.retired)) {
-		if r.returning[name] {
-			continue
-		}
-		r.fleet.Host(name, now).Retiring = true
-		if len(hosts) < maxReturn {
+	for name := range r.retired {
+		if !r.returning[name] {
 			hosts = append(hosts, name)
 		}
 	}
+	slices.Sort(hosts)
+	for _, name := range hosts {
+		r.fleet.Host(name, now).Retiring = true
+	}
 	if len(hosts) == 0 || !r.allowed(now) {
 		return
 	}
+	hosts = hosts[:min(len(hosts), maxReturn)]
 	for _, n := range hosts {
 		r.returning[n] = true
 	}
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"lugward/internal/core"
 )
 
 // Args are the arguments of a scenario's command.
@@ -188,6 +190,26 @@
 	return nil
 }
 
+// workDone checks how much work the controllers did, all together: of the
+// bytes of reports they may decode so many hundredths, in a round count the
+// rooms of so many machines anew, and make so many writes in all.
+func (w *World) workDone(a Args) string {
+	var sum core.Work
+	for _, n := range w.nodes {
+		one := n.core.Work()
+		sum.Reports += one.Reports
+		sum.Decoded += one.Decoded
+		sum.Same += one.Same
+		sum.Rounds += one.Rounds
+		sum.Counted += one.Counted
+	}
+	if float64(sum.Decoded) <= a.num("decoded", "0")/100*float64(sum.Decoded+sum.Same) && float64(sum.Counted) <= a.num("counted", "0")*float64(sum.Rounds) &&
+		w.state.written <= int(a.num("writes", "0")) {
+		return "within"
+	}
+	return fmt.Sprintf("%+v, %d writes", sum, w.state.written)
+}
+
 // Do carries out one command of a scenario and returns its output.
 func (w *World) Do(cmd string, a Args, input string) string {
 	switch cmd {
@@ -319,6 +341,8 @@
 		}
 	case "served":
 		return w.check.served()
+	case "work":
+		return w.workDone(a)
 	case "settle":
 		w.check.calmAt = w.now
 	case "refused":
--- a/internal/simtest/state.go
+++ b/internal/simtest/state.go
@@ -23,6 +23,7 @@
 
 	requests, writes budget
 	refused          int // for exceeding them
+	written          int // keys put and dropped
 }
 
 // budget is a rate with one second's burst.
@@ -217,6 +218,7 @@
 	if len(t.Then) > 0 {
 		s.epoch++
 	}
+	s.written += len(t.Then)
 	for _, op := range t.Then {
 		if op.Drop != "" {
 			delete(s.keys, op.Drop)
