Nothing healthy is moved because of a copy; controllers stand still in scenarios

A machine of which we only heard a copy is shown our fence like one that stays away, so that it comes over within seconds (before: after the old leader's grace). New in simtest: freeze (inputs wait and come in any order; also between a decision and its effects), whole zones that die or hang.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,6 +40,7 @@
 	// reports may go on arriving all the while.
 	Deaf       step.Time
 	deafTenure uint64
+	unfenced   int // reports without our fence since we first answered one
 	Tenure     uint64
 	Tick       uint64
 	Heard      step.Time // of the last report, 0: none in this term
@@ -167,7 +168,6 @@
 	}
 	term.SawFence(r.Fence)
 	f.note(h, r, now)
-	f.hears(h, r, now, term)
 	for _, s := range r.Shards {
 		if j, e, task := f.find(h, s); e != nil {
 			f.progress(h, e, s, now)
@@ -177,6 +177,9 @@
 			f.Jobs.MarkDone(j, task)
 		}
 	}
+	// The list came before the question whether the machine hears us: what it
+	// shows is there, whatever a copy that we took before did not show.
+	f.hears(h, r, now, term)
 	return true
 }
 
@@ -186,10 +189,16 @@
 // more once it does not take up what it was told.
 func (f *Fleet) hears(h *Host, r *Report, now step.Time, term Term) {
 	if !h.Fenced {
-		if r.Fence == term.Fence() {
+		switch {
+		case r.Fence == term.Fence():
 			h.Fenced, h.Deaf = true, 0
 			f.Jobs.Changed = true
-		} else if h.Deaf == 0 && h.Answered > 0 && now-h.firstHeard > f.Silent {
+		case h.Deaf != 0 || h.Answered == 0:
+		case h.unfenced < deafMisses:
+			// What we answered first may have been a copy; the machine itself,
+			// which stayed with the leader before us, answers for itself.
+			h.unfenced++
+		case now-h.firstHeard > f.Silent:
 			f.deaf(h, now)
 		}
 		return
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -309,6 +309,13 @@
 	zones := r.zones()
 	r.findDark(zones, now, silent)
 	shows := 0
+	for _, h := range r.fleet.Hosts {
+		// What we heard of it may have been a copy; it stays away itself.
+		if h != nil && h.Heard > 0 && !h.Fenced && now-h.Heard > showAfter && shows < mostShows {
+			shows++
+			r.fleet.Show(h, now, t, out)
+		}
+	}
 	for _, i := range slices.Sorted(maps.Keys(r.boots)) {
 		b, h := r.boots[i], r.fleet.At(i)
 		if h == nil || h.Heard > 0 {
--- a/internal/simtest/scenario_test.go
+++ b/internal/simtest/scenario_test.go
@@ -170,7 +170,7 @@
 func (w *World) misfortune() {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	long := seconds(0.1 + w.rng.Float64()*20)
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(13) {
 	case 9:
 		// Several are back within a fraction of a second, wherever they were.
 		for _, n := range w.nodes {
@@ -189,6 +189,13 @@
 			w.Deafen(k, true)
 			w.after(long, func() { w.Deafen(k, false) })
 		}
+	case 12:
+		if l := w.Leader(); l != nil && w.rng.IntN(2) == 0 {
+			n = l
+		}
+		if n.up && !n.frozen {
+			n.freeze(long/2, w.rng.IntN(2) == 0)
+		}
 	case 11:
 		if l := w.Leader(); l != nil {
 			w.isolate(l, true)
@@ -225,8 +232,7 @@
 			case 0:
 				k.die()
 			case 1:
-				k.hung = true
-				w.after(long, func() { k.hung = false })
+				k.hang(long)
 			default:
 				w.cloud.remove(k.name)
 			}
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -297,6 +297,10 @@
 				n.boot()
 			}
 		}
+	case "freeze":
+		for _, n := range w.pick(a["node"]) {
+			n.freeze(a.dur("for", "2s"), a.flag("within"))
+		}
 	case "cut", "heal":
 		on := cmd == "cut"
 		for _, n := range w.pick(a["node"]) {
@@ -333,7 +337,11 @@
 			w.isolate(n, cmd == "isolate")
 		}
 	case "users":
-		// From here on users ask a controller that does not lead.
+		// From here on users ask a controller that does not lead, or any.
+		if a.flag("any") {
+			w.users = nil
+			break
+		}
 		for _, n := range w.nodes {
 			if n != w.Leader() {
 				w.users = n
@@ -352,6 +360,17 @@
 	case "pages":
 		w.pageLimit = int(a.num("limit", "1000"))
 	case "die", "hang", "recall", "taken", "slow":
+		if z, ok := a["zone"]; ok {
+			// All that the zone holds, as when a rack fails.
+			for _, k := range w.Workers() {
+				if k.zone == z && k.up && cmd == "die" {
+					k.die()
+				} else if k.zone == z && cmd == "hang" {
+					k.hang(a.dur("for", "5s"))
+				}
+			}
+			break
+		}
 		k := w.hostOf(a["shard"])
 		if k == nil {
 			return "not on a machine"
@@ -364,8 +383,7 @@
 		case "taken":
 			w.cloud.remove(k.name)
 		case "hang":
-			k.hung = true
-			w.after(a.dur("for", "5s"), func() { k.hung = false })
+			k.hang(a.dur("for", "5s"))
 		case "recall":
 			k.recallAt, k.changed = w.now+a.dur("in", "8s"), true
 			w.after(a.dur("in", "8s"), func() { w.cloud.remove(k.name) })
--- a/internal/simtest/worker.go
+++ b/internal/simtest/worker.go
@@ -452,6 +452,12 @@
 	})
 }
 
+// hang lets the machine stand still; it may go on later.
+func (k *worker) hang(d time.Duration) {
+	k.hung = true
+	k.w.after(d, func() { k.hung = false })
+}
+
 // die ends the machine.
 func (k *worker) die() {
 	k.killAll()
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -191,6 +191,11 @@
 	start time.Duration
 	conns map[uint64]func(status int, body []byte)
 	next  uint64
+
+	frozen     bool
+	freezeNext time.Duration
+	stopped    []func() // inputs that wait while it stands still
+	decided    func()   // what its last step decided and did not carry out
 }
 
 func (n *node) addr() string { return fmt.Sprintf("10.0.0.%d:8080", n.index+1) }
@@ -212,7 +217,7 @@
 }
 
 func (n *node) kill() {
-	n.up = false
+	n.up, n.frozen, n.stopped, n.decided, n.freezeNext = false, false, nil, nil, 0
 	conns := n.conns
 	n.conns = nil
 	var ids []uint64
@@ -229,15 +234,61 @@
 	if !n.up || n.life != life {
 		return
 	}
-	n.step(func(now step.Time) { n.core.Tick(now, &n.out) })
+	if !n.frozen {
+		n.step(func(now step.Time) { n.core.Tick(now, &n.out) })
+	}
 	n.w.after(tickEvery, func() { n.tick(life) })
 }
 
+// freeze lets a controller stand still while its clock runs on, from now or,
+// within a step, from when its next decision is made but not carried out yet.
+// What arrives meanwhile waits, and comes in any order before anything that
+// time brings.
+func (n *node) freeze(d time.Duration, within bool) {
+	if within {
+		n.freezeNext = d
+		return
+	}
+	n.frozen = true
+	life := n.life
+	n.w.after(d, func() {
+		if n.life != life || !n.frozen {
+			return
+		}
+		n.frozen = false
+		list := n.stopped
+		n.stopped = nil
+		n.w.rng.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+		if do := n.decided; do != nil {
+			n.decided = nil
+			do()
+		}
+		for _, f := range list {
+			f()
+		}
+	})
+}
+
 // step gives one input to the core and carries out the effects.
 func (n *node) step(f func(now step.Time)) {
+	if n.frozen {
+		n.stopped = append(n.stopped, func() { n.step(f) })
+		return
+	}
 	f(n.w.now - n.start)
 	replies, calls, frames := n.out.Replies, n.out.Calls, n.out.Frames
 	n.out.Replies, n.out.Calls, n.out.Frames = nil, nil, nil
+	if d := n.freezeNext; d > 0 && len(replies)+len(calls) > 0 {
+		n.freezeNext = 0
+		n.decided = func() { n.perform(replies, calls, frames) }
+		n.freeze(d, false)
+		return
+	}
+	n.perform(replies, calls, frames)
+}
+
+// perform carries out the effects of a step.
+func (n *node) perform(replies []step.Reply, calls []step.Call, frames []step.PeerFrame) {
 	life := n.life
 	for _, r := range replies {
 		if answer := n.conns[r.Conn]; answer != nil {
