--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,7 +27,8 @@
 
 const (
 	maxShards  = 100_000
-	retryAfter = 1 // seconds, told with 503
+	retryAfter = 1  // seconds, told with 503
+	mostRetry  = 30 // users do not wait for longer, whatever they are told
 	// The state service counts as out when nothing of ours got through for
 	// this long; requests that need it are then refused at once.
 	outFor      = time.Second
@@ -347,6 +348,12 @@
 		out.Reply(r.Conn, 400, nil)
 		return
 	}
+	if best, _ := in.store.Backlog(store.Accept); best > in.cfg.Answer.Seconds() {
+		// It would wait for longer than its user does: told so at once, the
+		// user is not kept, and what waits already keeps its turn.
+		in.later(r.Conn, out)
+		return
+	}
 	in.store.Submit(&store.Intent{Priority: store.Accept,
 		Conds:  []store.Cond{{Key: pipeline.JobKeyOf(id)}, {Key: pipeline.FinalKeyOf(id)}},
 		Writes: []store.Write{{Key: pipeline.JobKeyOf(id), Data: data}},
@@ -356,13 +363,19 @@
 				b, _ := json.Marshal(answer{ID: id, Phase: phaseNames[pipeline.Queued]})
 				res.Out.Reply(r.Conn, 201, b)
 			case store.Refused:
-				res.Out.Busy(r.Conn, retryAfter)
+				in.later(r.Conn, res.Out)
 			default:
 				in.afterUnknown(r.Conn, id)
 			}
 		}}, now+in.cfg.Answer)
 }
 
+// later refuses a submission for as long as what waits before it takes.
+func (in *Intake) later(conn uint64, out *step.Out) {
+	_, wait := in.store.Backlog(store.Accept)
+	out.Busy(conn, int(math.Ceil(min(max(wait, retryAfter), mostRetry))))
+}
+
 // afterUnknown answers a submission whose write conflicted or whose outcome
 // did not come: the store is read, nothing is guessed. A write that lands
 // after that leaves an accepted job, which a retry then finds.
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"sort"
 	"strconv"
 	"strings"
@@ -121,6 +122,57 @@
 	return w.user(a["id"], "POST", "/submissions", body)
 }
 
+// crowd submits many jobs at the same moment, each user repeating as users do,
+// and tells how many were accepted, within how many seconds the slowest request
+// was answered at all, and whether refusals come at once on average.
+func (w *World) crowd(a Args) string {
+	accepted, open := 0, int(a.num("count", "1"))
+	var slowest, t503 time.Duration
+	n503 := 0
+	end := w.now + userRetry
+	for i := range open {
+		one := maps.Clone(a)
+		one["id"] = fmt.Sprintf("req-%06d", int(a.num("from", "1"))+i)
+		body := w.Body(one)
+		j := w.jobs[one["id"]]
+		j.submitted = true
+		var try func()
+		try = func() {
+			asked := w.now
+			w.request("user", w.door(), "POST", "/submissions", body, 5*time.Second, func(status int, b []byte) {
+				var v struct {
+					Phase string `json:"phase"`
+				}
+				_ = json.Unmarshal(b, &v)
+				w.check.answered(j.id, status, v.Phase)
+				slowest = max(slowest, w.now-asked)
+				if status == 503 {
+					n503++
+					t503 += w.now - asked
+				}
+				switch {
+				case status == 200 || status == 201:
+					j.asked = asked
+					accepted, open = accepted+1, open-1
+				case w.now >= end:
+					open--
+				default:
+					w.after(time.Second, try)
+				}
+			})
+		}
+		try()
+	}
+	for open > 0 {
+		w.Run(100 * time.Millisecond)
+	}
+	when := "at once"
+	if mean := t503 / time.Duration(max(1, n503)); mean > 500*time.Millisecond {
+		when = "after " + mean.String()
+	}
+	return fmt.Sprintf("%d accepted, answered within %.0fs, refused %s", accepted, math.Ceil(slowest.Seconds()), when)
+}
+
 // Poll asks for a job's state once, without insisting.
 func (w *World) Poll(id string) (int, string) {
 	status, v := w.ask(w.door(), "GET", "/submissions/"+id, nil)
@@ -230,6 +282,9 @@
 		return fmt.Sprintf("%d %s", status, phase)
 	case "burst":
 		// Many jobs alike, their ids counted up.
+		if a.flag("once") {
+			return w.crowd(a)
+		}
 		accepted := 0
 		for i := range int(a.num("count", "1")) {
 			one := maps.Clone(a)
--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -90,3 +90,14 @@
 	}
 	return c.asked.rate(now), c.written.rate(now) + waiting
 }
+
+// Backlog tells how long a new intent of a priority waits for its turn, by the
+// writes before it: at best, if all of the service's rate were ours, and at
+// our part of it as it is.
+func (c *Client) Backlog(p Priority) (best, now float64) {
+	before := 0
+	for _, list := range c.queue[:p+1] {
+		before += len(list)
+	}
+	return float64(before) / c.limits.WriteRPS, float64(before) / c.writes.rate
+}
