--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -352,6 +352,13 @@
 				n.boot()
 			}
 		}
+	case "deny", "allow":
+		for _, n := range w.pick(a["node"]) {
+			n.denied = cmd == "deny"
+		}
+	case "forgetlog":
+		// As many changes come as the state service keeps.
+		w.state.oldest = w.state.epoch
 	case "freeze":
 		for _, n := range w.pick(a["node"]) {
 			n.freeze(a.dur("for", "2s"), a.flag("within"))
--- a/internal/simtest/state.go
+++ b/internal/simtest/state.go
@@ -15,6 +15,7 @@
 	w      *World
 	keys   map[string]stateKey
 	epoch  uint64
+	oldest uint64 // changes from before are not kept
 	log    []stateChange
 	leases map[uint64]*stateLease
 	last   uint64
@@ -129,7 +130,7 @@
 	case u.Path == "/follow":
 		from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
-		if from+logKept < s.epoch {
+		if from+logKept < s.epoch || from < s.oldest {
 			answer(410, nil)
 			return
 		}
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -192,6 +192,7 @@
 	conns map[uint64]func(status int, body []byte)
 	next  uint64
 
+	denied     bool // the state service answers everybody but this one
 	frozen     bool
 	freezeNext time.Duration
 	stopped    []func() // inputs that wait while it stands still
@@ -336,7 +337,17 @@
 	switch c.Addr {
 	case stateAddr:
 		to = "state"
-		serve = func(a func(int, any)) { n.w.state.serve(c.Method, c.Path, c.Body, a) }
+		serve = func(a func(int, any)) {
+			if n.denied {
+				a(503, object{"error": "trouble"})
+				return
+			}
+			n.w.state.serve(c.Method, c.Path, c.Body, func(status int, v any) {
+				if !n.denied { // else an open watch waits on
+					a(status, v)
+				}
+			})
+		}
 	case cloudAddr:
 		to = "cloud"
 		serve = func(a func(int, any)) { n.w.cloud.serve(c.Method, c.Path, c.Body, a) }
