Time passes between inputs; wishes are queued without a walk over their tasks

Now the loop itself lets time pass between two inputs when a tick is due, and lets the other goroutines run; a chunk knows whether a placement waits, a job how many of its entries are marked. TestTimePasses fails without it.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -130,6 +131,7 @@
 	expiry  map[uint64]step.Time // call ID -> deadline
 	calls   map[uint64]*conn
 	swept   step.Time
+	ticked  step.Time
 	failed  error
 }
 
@@ -169,14 +171,25 @@
 		return 4 * tickEvery, gnet.None
 	}
 	_ = e.eventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		e.tick()
+		e.tick(tickEvery / 2)
 		return nil
 	}))
 	return tickEvery, gnet.None
 }
 
-func (e *engine) tick() {
+// tick lets time pass, unless it did so within the given time. It is called by
+// the ticker, and between two inputs: while inputs keep the loop busy, neither
+// the ticker's goroutine nor a dial's comes to run, and a leader that answers
+// reports all the time would lose its term, as its renewals are due by time.
+func (e *engine) tick(least time.Duration) {
 	now := e.now()
+	if now-e.ticked < least {
+		return
+	}
+	if e.ticked > 0 && now-e.ticked > tickEvery {
+		runtime.Gosched()
+	}
+	e.ticked = now
 	for id, at := range e.expiry {
 		if now >= at {
 			e.finishCall(id, 0, nil)
@@ -466,6 +479,10 @@
 	if !ok {
 		return gnet.Close
 	}
+	e.tick(tickEvery)
+	if c.gone {
+		return gnet.None
+	}
 	c.since = e.now()
 	switch c.kind {
 	case kindHTTP:
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -45,6 +45,59 @@
 	e.frames = append(e.frames, f.Data)
 }
 
+// slow is a core that takes longer for a request than there is between ticks.
+type slow struct {
+	echo
+	order chan string
+}
+
+func (s *slow) Tick(step.Time, *step.Out) {
+	select {
+	case s.order <- "tick":
+	default:
+	}
+}
+
+func (s *slow) Request(now step.Time, r step.Request, out *step.Out) {
+	time.Sleep(tickEvery + 10*time.Millisecond)
+	s.order <- "request"
+	s.echo.Request(now, r, out)
+}
+
+// TestTimePasses: requests that wait side by side do not keep time from
+// passing between them.
+func TestTimePasses(t *testing.T) {
+	const n = 10
+	s := &slow{order: make(chan string, 1000)}
+	cfg := serve(t, s, 100)
+	var lines [n]net.Conn
+	for i := range lines {
+		c, err := net.Dial("tcp", cfg.Bind)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		lines[i] = c
+	}
+	for _, c := range lines {
+		_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\n\r\n")
+	}
+	between, last := 0, ""
+	for seen := 0; seen < n; {
+		what := <-s.order
+		if what == "request" {
+			seen++
+			if last == "tick" {
+				between++
+			}
+		}
+		last = what
+	}
+	if between < n-2 {
+		t.Errorf("time passed before %d of %d requests only", between, n)
+	}
+}
+
 func freeAddr(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -57,18 +110,22 @@
 // start runs an engine for the rest of the test process.
 func start(t *testing.T, maxConnections int) (*echo, Config) {
 	e := &echo{done: make(chan step.CallDone, 10)}
+	return e, serve(t, e, maxConnections)
+}
+
+func serve(t *testing.T, core Core, maxConnections int) Config {
 	cfg := Config{Bind: freeAddr(t), PeerBind: freeAddr(t), MaxConnections: maxConnections}
-	go func() { _ = Run(cfg, e, slog.New(slog.NewTextHandler(io.Discard, nil))) }()
+	go func() { _ = Run(cfg, core, slog.New(slog.NewTextHandler(io.Discard, nil))) }()
 	for range 200 {
 		c, err := net.Dial("tcp", cfg.Bind)
 		if err == nil {
 			c.Close()
-			return e, cfg
+			return cfg
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatal("the engine does not listen")
-	return nil, cfg
+	return cfg
 }
 
 // say sends raw bytes and returns all that comes back until the other side
@@ -250,7 +307,7 @@
 // TestCalls: whatever the other side does, a call ends exactly once.
 func TestCalls(t *testing.T) {
 	e, _ := start(t, 100)
-	serve := func(answer string) string {
+	answers := func(answer string) string {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -281,10 +338,10 @@
 		status int
 		body   string
 	}{
-		{serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"), 200, "{}"},
-		{serve("not http at all\r\n\r\n"), 0, ""},
-		{serve("HTTP/1.1 2"), 0, ""},
-		{serve(""), 0, ""},
+		{answers("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"), 200, "{}"},
+		{answers("not http at all\r\n\r\n"), 0, ""},
+		{answers("HTTP/1.1 2"), 0, ""},
+		{answers(""), 0, ""},
 		{freeAddr(t), 0, ""}, // refused
 	} {
 		e.mu.Lock()
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -143,6 +143,7 @@
 
 	done     int // tasks marked done in run records
 	active   int // entries
+	marked   int // entries of which the leader wishes that they be marked done
 	chunkLen int
 
 	finishing bool
@@ -166,7 +167,8 @@
 	Entries map[int]*Entry
 	queued  [2]bool // a write waits for its turn: of progress, of placements
 	dirty   bool
-	version int // counts the wishes, to tell what a write has carried
+	placing bool // a placement is not part of any write yet, or its write failed
+	version int  // counts the wishes, to tell what a write has carried
 	retryAt int64
 }
 
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -203,6 +203,9 @@
 
 func (t *Table) remove(e *Entry) {
 	e.Job.active--
+	if e.Wish == MarkDone {
+		e.Job.marked--
+	}
 	t.count(e, -1)
 	t.Touch(e.Host)
 	t.byHost[e.Host] = slices.DeleteFunc(slices.Clone(t.byHost[e.Host]), func(o *Entry) bool { return o == e })
@@ -403,6 +406,7 @@
 	e := &Entry{Job: j, Task: task, Host: host, Try: try, Placed: now}
 	ch.Entries[task] = e
 	t.add(e)
+	ch.placing = true
 	t.touch(j, ch)
 	return e
 }
@@ -444,6 +448,7 @@
 	if e := ch.Entries[task]; e != nil {
 		if e.Wish != MarkDone {
 			e.Wish = MarkDone
+			j.marked++
 			t.Touch(e.Host)
 			t.touch(j, ch)
 		}
@@ -469,7 +474,7 @@
 		j.Parked, j.Errors, j.Breaking, j.doneUnlog, j.cleaning, j.finishing = 0, 0, false, nil, false, false
 		for i := range j.Chunk {
 			ch := &j.Chunk[i]
-			ch.dirty, ch.retryAt = false, 0
+			ch.dirty, ch.placing, ch.retryAt = false, false, 0
 			for task, e := range ch.Entries {
 				if !e.Durable {
 					delete(ch.Entries, task)
@@ -480,6 +485,7 @@
 				e.Wish, e.Seen, e.Evict, e.Started, e.Placed, e.Ordered, e.Missed = Keep, Unseen, false, 0, 0, 0, 0
 			}
 		}
+		j.marked = 0
 	}
 	clear(t.dirty)
 	clear(t.ended)
@@ -548,16 +554,7 @@
 	if j.Shape == Daemon || j.Final != Queued || j.Stamp == 0 {
 		return false
 	}
-	n := j.done + len(j.doneUnlog)
-	if n+j.active < j.N {
-		return false
-	}
-	j.Entries(func(e *Entry) {
-		if e.Wish == MarkDone {
-			n++
-		}
-	})
-	return n >= j.N
+	return j.done+len(j.doneUnlog)+j.marked >= j.N
 }
 
 // finish marks a job done and drops its records in one transaction.
@@ -618,10 +615,8 @@
 		return // it will carry whatever has changed by then
 	}
 	kind, priority := 0, store.Progress
-	for _, e := range j.Chunk[c].Entries {
-		if e.Wish == Keep && !e.Durable {
-			kind, priority = 1, store.Place
-		}
+	if j.Chunk[c].placing {
+		kind, priority = 1, store.Place
 	}
 	if j.Chunk[c].queued[kind] {
 		return
@@ -659,6 +654,9 @@
 			// retry conflicts until the replica shows it, then builds on it.
 			ch.retryAt = int64(r.Now) + retryWait
 			t.dirty[j] = true
+			for _, e := range ch.Entries {
+				ch.placing = ch.placing || (e.Wish == Keep && !e.Durable)
+			}
 		}
 	}
 	s.Submit(in, now+writeFor)
@@ -669,6 +667,7 @@
 	ch := &j.Chunk[c]
 	done := append([]uint64(nil), ch.Done...)
 	var active []*Entry
+	ch.placing = false
 	for _, e := range ch.Entries {
 		switch e.Wish {
 		case Keep:
