--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"runtime"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -67,20 +68,19 @@
 )
 
 type conn struct {
-	id     uint64
-	kind   connKind
-	g      gnet.Conn
-	addr   string
-	peer   int
-	busy   bool // an incoming request awaits its reply, or an outgoing call its response
-	close  bool
-	reused bool
-	call   step.Call
-	since  step.Time // of the last activity
-	half   bool      // part of a request is buffered
-	from   party
-	gone   bool          // being closed
-	rest   *list.Element // in the list of its party's idle connections
+	id    uint64
+	kind  connKind
+	g     gnet.Conn
+	addr  string
+	peer  int
+	busy  bool // an incoming request awaits its reply, or an outgoing call its response
+	close bool
+	call  step.Call
+	since step.Time // of the last activity
+	half  bool      // part of a request is buffered
+	from  party
+	gone  bool          // being closed
+	rest  *list.Element // in the list of its party's idle connections, or of spare ones
 }
 
 // party is who is at the other end of an incoming connection, by what it asked
@@ -124,6 +124,7 @@
 	workers  int // connections of workers
 	// Incoming connections between two requests, least recently used first.
 	resting [parties]list.List
+	spare   list.List // outgoing connections without a call, least recently used first
 	idle    map[string][]*conn
 	peers   []*peerLink
 	pending []event // raised while a step is being carried out
@@ -287,7 +288,7 @@
 	if list := e.idle[call.Addr]; len(list) > 0 {
 		c := list[len(list)-1]
 		e.idle[call.Addr] = list[:len(list)-1]
-		c.reused = true
+		e.unrest(c)
 		e.issue(c, call)
 		return
 	}
@@ -314,7 +315,7 @@
 			e.drop(c) // a late response must not meet the next request
 		} else {
 			c.since = e.now()
-			e.idle[c.addr] = append(e.idle[c.addr], c)
+			e.keep(c)
 		}
 	}
 	done := step.CallDone{ID: id, Status: status, Body: body}
@@ -362,7 +363,7 @@
 		} else if _, ok := e.expiry[out.call.ID]; ok {
 			e.issue(out, out.call)
 		} else {
-			e.idle[out.addr] = append(e.idle[out.addr], out) // the call gave up meanwhile
+			e.keep(out) // the call gave up meanwhile
 		}
 		return nil, gnet.None
 	}
@@ -381,9 +382,10 @@
 	return nil, gnet.None
 }
 
-// outgoingKept is how many sockets are kept for outgoing connections.
+// outgoingKept is how many sockets are kept for outgoing connections. Those
+// without a call give way before any other.
 func (e *engine) outgoingKept() int {
-	return max(len(e.conns)-e.incoming+outgoingMore, e.cfg.MaxConnections/outgoingRoom)
+	return max(len(e.conns)-e.incoming-e.spare.Len()+outgoingMore, e.cfg.MaxConnections/outgoingRoom)
 }
 
 // workerRoom is how many workers may stay connected between two reports.
@@ -396,15 +398,16 @@
 	return e.cfg.MaxConnections - e.outgoingKept() - e.cfg.MaxConnections/userRoom
 }
 
-// makeRoom tells whether one more incoming connection may stay. The user
-// connection that has been idle for longest gives way, with none left a
-// probe's, then a worker's; none with an answer due.
+// makeRoom tells whether one more incoming connection may stay. A spare
+// outgoing one gives way (direct commands leave one for each machine), then the
+// user connection that has been idle for longest, with none left a probe's, then
+// a worker's; none with an answer due.
 func (e *engine) makeRoom() bool {
-	if e.incoming+e.outgoingKept() < e.cfg.MaxConnections {
+	if e.incoming+e.outgoingKept()+e.spare.Len() < e.cfg.MaxConnections {
 		return true
 	}
-	for _, p := range []party{user, probe, worker} {
-		if first := e.resting[p].Front(); first != nil {
+	for _, idle := range []*list.List{&e.spare, &e.resting[user], &e.resting[probe], &e.resting[worker]} {
+		if first := idle.Front(); first != nil {
 			e.drop(first.Value.(*conn))
 			return true
 		}
@@ -414,12 +417,32 @@
 
 // unrest takes a connection off the list of those between two requests.
 func (e *engine) unrest(c *conn) {
-	if c.rest != nil {
-		e.resting[c.from].Remove(c.rest)
-		c.rest = nil
+	if c.rest == nil {
+		return
+	}
+	idle := &e.resting[c.from]
+	if c.kind == kindCall {
+		idle = &e.spare
+	}
+	idle.Remove(c.rest)
+	c.rest = nil
+}
+
+// unkeep takes a connection that ends off those that calls may use.
+func (e *engine) unkeep(c *conn) {
+	if list := slices.DeleteFunc(e.idle[c.addr], func(o *conn) bool { return o == c }); len(list) > 0 {
+		e.idle[c.addr] = list
+	} else {
+		delete(e.idle, c.addr)
 	}
 }
 
+// keep puts an outgoing connection by for the next call to its address.
+func (e *engine) keep(c *conn) {
+	e.idle[c.addr] = append(e.idle[c.addr], c)
+	c.rest = e.spare.PushBack(c)
+}
+
 func (e *engine) setParty(c *conn, p party) {
 	if c.from == worker {
 		e.workers--
@@ -438,6 +461,7 @@
 func (e *engine) drop(c *conn) {
 	c.gone = true
 	e.unrest(c)
+	e.unkeep(c)
 	if c.g != nil {
 		_ = c.g.Close()
 	}
@@ -459,13 +483,7 @@
 			e.peers[c.peer].conn = nil
 		}
 	case kindCall:
-		list := e.idle[c.addr]
-		for i, o := range list {
-			if o == c {
-				e.idle[c.addr] = append(list[:i:i], list[i+1:]...)
-				break
-			}
-		}
+		e.unkeep(c)
 		if c.busy {
 			e.calls[c.call.ID] = nil
 			e.finishCall(c.call.ID, 0, nil)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -109,7 +109,7 @@
 
 // start runs an engine for the rest of the test process.
 func start(t *testing.T, maxConnections int) (*echo, Config) {
-	e := &echo{done: make(chan step.CallDone, 10)}
+	e := &echo{done: make(chan step.CallDone, 100)}
 	return e, serve(t, e, maxConnections)
 }
 
@@ -241,6 +241,50 @@
 	}
 }
 
+// TestSpareCallsGiveWay: connections left from calls of ours, such as direct
+// commands to many machines, take no room from workers.
+func TestSpareCallsGiveWay(t *testing.T) {
+	const sockets = 64
+	e, cfg := start(t, sockets)
+	for range sockets / 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1000))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			_, _ = c.Read(make([]byte, 1)) // until it is closed
+		}()
+		e.mu.Lock()
+		e.calls = append(e.calls, l.Addr().String())
+		e.mu.Unlock()
+	}
+	for range sockets / 2 {
+		if d := <-e.done; d.Status != 200 {
+			t.Fatalf("a call ended with %d", d.Status)
+		}
+	}
+	kept := 0
+	for i := range sockets {
+		w := &client{addr: cfg.Bind}
+		if !w.ask(t, "/hello") {
+			t.Fatalf("worker %d is refused", i)
+		}
+		if w.conn != nil {
+			kept++
+		}
+	}
+	if least := (sockets - sockets/userRoom - outgoingMore) / 2; kept < least {
+		t.Errorf("%d workers stay connected, not %d", kept, least)
+	}
+}
+
 // client is a connection that is dialled again when it was closed in good order.
 type client struct {
 	addr string
