The index of rooms compares counts of changes itself, so a plan sees what its round placed

Found on reading the change over: rooms were marked as stale from outside, before a round; the plan that follows in the same step counted the machines without the tasks that the round had just placed, and rented less until the next second. Now each room knows the count of changes it was made from; nothing has to be passed on in time, and the passing on is gone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -266,7 +266,6 @@
 	n.jobs.Changed = n.jobs.Changed || n.rental.Replan
 	if (n.jobs.Changed && since >= time.Duration(n.cfg.Operator.Place.Round)) || since >= roundIdle {
 		n.roundAt, n.jobs.Changed = now, false
-		n.takeTouched()
 		n.startBudget()
 		n.work.Rounds++
 		n.blocked, n.rooms = n.placer.Round(now)
@@ -277,7 +276,6 @@
 	}
 	if now-n.packAt >= packEvery && n.rooms != nil {
 		n.packAt = now
-		n.takeTouched()
 		n.startBudget()
 		for _, h := range n.placer.Pack(now, n.rooms, n.blocked) {
 			n.log.Info("moving work off", "host", h.Name)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -84,24 +84,12 @@
 	return oldest(&r.idle, func(*waitingReport) bool { return true })
 }
 
-// takeTouched passes on which machines' entries have changed.
-func (n *Node) takeTouched() {
-	list := n.jobs.TakeTouched()
-	n.placer.Stale(list)
-	for _, h := range list {
-		if n.waiting.byHost[h] != nil {
-			n.waiting.review = append(n.waiting.review, h)
-		}
-	}
-}
-
 // answer answers the reports whose consequences are stored: what completed
 // can then be reaped, and what takes its place started, in the same response.
 // A write takes milliseconds; a slow one is not waited for.
 func (n *Node) answer(now step.Time, out *step.Out) {
 	r := &n.waiting
-	n.takeTouched()
-	review := r.review
+	review := append(r.review, n.jobs.TakeTouched()...)
 	r.review = nil
 	if len(r.byHost) == 0 {
 		return
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -36,6 +36,7 @@
 	ended    map[*Job]bool // marked while tasks of theirs may be on machines
 	touched  []int         // machines whose entries have changed, in that order
 	isListed map[int]bool  // those in touched
+	changes  []uint32      // by machine, how often its entries have changed
 
 	// Now is the steady time of the input that is being handled.
 	Now int64
@@ -74,12 +75,25 @@
 
 // Touch notes that something about the entries of a machine has changed.
 func (t *Table) Touch(host int) {
+	for len(t.changes) <= host {
+		t.changes = append(t.changes, 0)
+	}
+	t.changes[host]++
 	if !t.isListed[host] {
 		t.isListed[host] = true
 		t.touched = append(t.touched, host)
 	}
 }
 
+// Changes counts the changes of a machine's entries: whoever keeps something
+// that follows from them compares it.
+func (t *Table) Changes(host int) uint32 {
+	if host >= len(t.changes) {
+		return 0
+	}
+	return t.changes[host]
+}
+
 // TakeTouched returns, once each, the machines whose entries have changed.
 func (t *Table) TakeTouched() []int {
 	list := t.touched
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -63,6 +63,7 @@
 	Leaving           []*pipeline.Entry // told to stop
 	ends              []ending          // soonest first
 	sorted            bool              // ends are filled in
+	changes           uint32            // of the machine's entries when it was counted
 }
 
 const slack = 1e-6 // amounts are decimal numbers
@@ -118,7 +119,7 @@
 	// Elapsed tells how much of the budget is used; nil: no limit.
 	Elapsed func() bool
 
-	counted  []Room                 // by machine, as its entries leave it; no Flavor: to be counted
+	counted  []Room                 // by machine, as its entries left it
 	offers   offers                 // room for choose, and
 	cands    []candidate            // for victims, to work in
 	resume   *pipeline.Job          // where the last round ran out of time
@@ -128,27 +129,17 @@
 	leaving  map[int]pipeline.Usage // by team, of what this round stops
 }
 
-// Stale tells that what is on these machines has changed: their rooms are
-// counted anew when they are needed next. The others' are kept.
-func (p *Placer) Stale(hosts []int) {
-	for _, h := range hosts {
-		if h < len(p.counted) {
-			p.counted[h].Flavor = nil
-		}
-	}
-}
-
 // room counts what is left of a machine, unless nothing has changed there.
 func (p *Placer) room(h *fleet.Host, f *Flavor) *Room {
 	for len(p.counted) <= h.Index {
 		p.counted = append(p.counted, Room{})
 	}
-	r := &p.counted[h.Index]
-	if r.Flavor == f && r.Host == h {
+	r, changes := &p.counted[h.Index], p.Jobs.Changes(h.Index)
+	if r.Flavor == f && r.Host == h && r.changes == changes {
 		return r
 	}
 	p.Counted++
-	*r = Room{Host: h, Flavor: f, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
+	*r = Room{Host: h, Flavor: f, changes: changes, Cores: f.Cores, Cards: f.Cards, RAM: f.RAM}
 	for _, e := range p.Jobs.OnHost(h.Index) {
 		r.Take(&e.Job.Spec, 1)
 		if e.Evict {
