--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,52 @@
+package place
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"lugward/internal/fleet"
+	"lugward/internal/pipeline"
+)
+
+// TestRoomsFollow: the rooms show what was placed a moment ago, as the plan
+// that follows a round in the same step needs it; a machine on which nothing
+// changed is not counted again.
+func TestRoomsFollow(t *testing.T) {
+	n := &pipeline.Names{}
+	jobs := pipeline.NewTable(n, 4096, 12)
+	f := fleet.New(n, jobs, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	flavors := Flavors{{Cores: 8, RAM: 32}}
+	p := &Placer{Jobs: jobs, Fleet: f, Flavors: &flavors, Silent: time.Minute}
+	now := time.Second
+	for _, name := range []string{"i-1", "i-2"} {
+		h := f.Host(name, now)
+		h.Flavor, h.Zone, h.Known, h.Fenced, h.Heard = 0, 0, true, true, now
+	}
+	j := &pipeline.Job{ID: "req-1", Spec: pipeline.Spec{N: 2, Cores: 3, RAM: 1, Zone: -1}}
+	jobs.Listen(pipeline.JobKey, j.ID, pipeline.Encode(names(n), j), 1)
+	left := func() (a, b float64) {
+		rooms := p.Rooms(now)
+		return rooms[0].Cores, rooms[1].Cores
+	}
+	if a, b := left(); a != 8 || b != 8 || p.Counted != 2 {
+		t.Fatalf("empty machines have %v and %v cores, %d counted", a, b, p.Counted)
+	}
+	e := jobs.Place(jobs.Job("req-1"), 0, 1, 1, int64(now))
+	if a, b := left(); a != 8 || b != 5 || p.Counted != 3 {
+		t.Errorf("with a task on the second: %v and %v, %d counted", a, b, p.Counted)
+	}
+	jobs.Clear(e)
+	if a, b := left(); a != 8 || b != 8 || p.Counted != 4 {
+		t.Errorf("without it again: %v and %v, %d counted", a, b, p.Counted)
+	}
+}
+
+// names holds what a record of a job names.
+func names(n *pipeline.Names) *pipeline.Names {
+	n.Classes.Index("c")
+	n.Teams.Index("t")
+	n.Bundles.Index("b")
+	return n
+}
