--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,8 +24,11 @@
 )
 
 const (
-	beatEvery  = 500 * time.Millisecond
-	beatLost   = 2 * time.Second // a peer not heard for this long is taken to be away
+	beatEvery = 500 * time.Millisecond
+	beatLost  = 2 * time.Second // a peer not heard for this long is taken to be away
+	// A controller that has neither the state service nor a peer for this long
+	// is the one that is cut off.
+	aloneAfter = 5 * time.Second
 	planEvery  = time.Second
 	roundIdle  = 2 * time.Second // a round without a change, for what time brings
 	fleetEvery = 50 * time.Millisecond
@@ -474,17 +477,22 @@
 	}
 }
 
-// health: a node that alone is refused by the state service sends users to
-// the others; in an outage that all share, staying healthy lets the service
-// resume at once.
+// health: a node that alone is refused by the state service, or that hears
+// nobody any more, sends users to the others; in an outage that all share,
+// staying healthy lets the service resume at once.
 func (n *Node) health(now step.Time, r step.Request, out *step.Out) {
 	ok := n.store.Synced()
-	if ok && n.store.Outage() && now-n.store.Contact() > beatLost {
+	if without := now - n.store.Contact(); ok && n.store.Outage() && without > beatLost {
+		// Users' connections stay where they are while the node is healthy: for
+		// as long as it is cut off nobody would tell them about their jobs.
+		alone := len(n.peers) > 0 && without > aloneAfter
 		for _, p := range n.peers {
-			if n.present(p) && p.beat.StateOK {
-				ok = false
+			if n.present(p) {
+				alone = false
+				ok = ok && !p.beat.StateOK
 			}
 		}
+		ok = ok && !alone
 	}
 	if ok {
 		out.Reply(r.Conn, 200, nil)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -322,7 +322,9 @@
 			continue
 		}
 		seen[e] = true
-		if s.Phase != "exited" && e.Wish == pipeline.Keep {
+		// What is cancelled is stopped whatever else is on its way for it: a
+		// task that was taken to be over may hang and go on.
+		if s.Phase != "exited" && (e.Wish == pipeline.Keep || e.Job.Final == pipeline.Cancelled) {
 			if stop, wind := f.mustStop(e); stop {
 				stops = append(stops, Order{Verb: "stop", Shard: s.Shard, Try: s.Try, Wind: &wind})
 			}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -94,3 +94,32 @@
 		}
 	}
 }
+
+// A cancelled job's task that goes on, on a machine that hung, is told to stop
+// even if it was taken to be over.
+func TestCancelledIsStoppedWhatever(t *testing.T) {
+	for _, wish := range []pipeline.Wish{pipeline.Keep, pipeline.Clear, pipeline.MarkDone} {
+		n := &pipeline.Names{}
+		tb := pipeline.NewTable(n, 4096, 12)
+		j := &pipeline.Job{ID: "req-1", Ready: true, Spec: pipeline.Spec{N: 1, Zone: -1}}
+		j.Class, j.Team, j.Bundle = n.Classes.Index("c"), n.Teams.Index("t"), n.Bundles.Index("b")
+		tb.Listen(pipeline.JobKey, j.ID, pipeline.Encode(n, j), 1)
+		tb.Listen(pipeline.RunKey, "req-1/0", []byte(`{"t":3,"a":[[0,3,"i-1"]]}`), 2)
+		e := tb.Job(j.ID).Entry(0)
+		switch wish {
+		case pipeline.Clear:
+			tb.Clear(e)
+		case pipeline.MarkDone:
+			tb.MarkDone(e.Job, 0)
+		}
+		tb.Listen(pipeline.FinalKey, "req-1", pipeline.EncodeFinal(pipeline.Cancelled, 1), 3)
+		f := New(n, tb, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		rep := &Report{Host: "i-1", Addr: "10.1.0.1:9000", Flavor: "f", Yard: "a", Tenure: 1, Tick: 9, Fence: 5,
+			Shards: []Shard{{Shard: "req-1/0", Try: 3, Phase: "running"}}}
+		f.Take(rep, time.Second, term{})
+		got := f.Orders(rep, time.Second, term{})
+		if len(got) != 1 || got[0].Verb != "stop" || got[0].Shard != "req-1/0" || *got[0].Wind != 0 {
+			t.Errorf("wish %d: %+v", wish, got)
+		}
+	}
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -120,7 +120,13 @@
 func (l *Lead) Cond() store.Cond { return store.Cond{Key: TermKey, Stamp: l.termStamp} }
 
 // Entitled tells whether the lease is surely alive: starts may be ordered.
-func (l *Lead) Entitled(now step.Time) bool { return l.Holds() && now < l.validTo }
+func (l *Lead) Entitled(now step.Time) bool { return l.caughtUp() && now < l.validTo }
+
+// caughtUp tells whether we hold a term and the replica shows everything up to
+// its beginning. A node that replaces its own term of before a restart, or that
+// has just read all keys page by page, would else miss what the term before had
+// written last, and give its room and its team's limit away once more.
+func (l *Lead) caughtUp() bool { return l.Holds() && l.store.Epoch() >= l.termStamp }
 
 // MayAnswer tells whether reports may be answered with 200: while entitled
 // and, with nothing started, for the grace after that.
@@ -128,7 +134,12 @@
 	// A cancellation that another node told may be missing from our replica
 	// for no longer than the grace, whatever the lease says: every 200 keeps
 	// the tasks of that worker alive.
-	if !l.Holds() || now >= l.store.Fresh()+l.cfg.Grace {
+	return l.caughtUp() && l.lasts(now)
+}
+
+// lasts tells whether our term, or its grace, goes on.
+func (l *Lead) lasts(now step.Time) bool {
+	if now >= l.store.Fresh()+l.cfg.Grace {
 		return false
 	}
 	return now < l.validTo || (now < l.validTo-l.cfg.Life+l.cfg.Grace && l.highest <= l.fence)
@@ -166,7 +177,7 @@
 // Tick renews or stands for election.
 func (l *Lead) Tick(now step.Time, out *step.Out) {
 	if l.Holds() {
-		if !l.MayAnswer(now) {
+		if !l.lasts(now) {
 			l.lose("grace is over")
 			return
 		}
@@ -226,13 +237,15 @@
 				l.extendAt = now
 				// The term was seen free before the lease was granted.
 				l.acquired, l.since = true, now
+				// The read that shows the replica all that came before.
+				l.store.Barrier(func(step.Time, bool, *step.Out) {})
 			}}, now+l.cfg.Life/2)
 	})
 }
 
 // Acquired tells once that a term has begun.
 func (l *Lead) Acquired() bool {
-	if !l.acquired {
+	if !l.acquired || (l.Holds() && !l.caughtUp()) {
 		return false
 	}
 	l.acquired = false
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -169,6 +169,9 @@
 // answer got lost would else leave it stale for long with nobody noticing.
 func (c *Client) Fresh() step.Time { return c.fresh }
 
+// Epoch is the change up to which the replica is complete.
+func (c *Client) Epoch() uint64 { return c.epoch }
+
 // Outage tells whether the service failed to answer lately.
 func (c *Client) Outage() bool { return c.outage }
 
@@ -334,6 +337,15 @@
 	})
 }
 
+// change takes one change of the log or of a write of ours. What the replica
+// has passed already is left out: an answer that was held up for longer than
+// those after it would else bring back keys that were dropped since.
+func (c *Client) change(key string, data []byte, stamp uint64) {
+	if stamp > c.epoch {
+		c.apply(key, data, stamp)
+	}
+}
+
 // apply takes one change unless the replica holds a newer one.
 func (c *Client) apply(key string, data []byte, stamp uint64) {
 	if stamp <= c.stamps[key] || stamp <= c.tombs[key] {
@@ -377,9 +389,9 @@
 	c.fresh = max(c.fresh, sent)
 	for _, ch := range v.Log {
 		if ch.Drop != "" {
-			c.apply(ch.Drop, nil, ch.Stamp)
+			c.change(ch.Drop, nil, ch.Stamp)
 		} else if ch.Write != "" {
-			c.apply(ch.Write, ch.Data, ch.Stamp)
+			c.change(ch.Write, ch.Data, ch.Stamp)
 		}
 	}
 	if v.Epoch > c.epoch {
@@ -579,7 +591,7 @@
 	case 200:
 		for _, in := range batch {
 			for _, w := range in.Writes {
-				c.apply(w.Key, w.Data, v.Epoch)
+				c.change(w.Key, w.Data, v.Epoch)
 			}
 		}
 		for _, in := range batch {
