--- /dev/null
+++ b/internal/simtest/troubles.go
@@ -0,0 +1,424 @@
+package simtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"lugward/internal/step"
+)
+
+// troubles are those of the network and of users that last for a while, each
+// as the share of what it befalls.
+type troubles struct {
+	lateWrites   float64 // transactions that get no answer and are carried out late
+	heldReports  float64 // reports that arrive seconds late, maybe elsewhere
+	heldCommands float64 // direct commands that arrive, or whose answers arrive, seconds late
+	cancelEnds   float64 // jobs that end that are cancelled at that moment
+	odd          bool    // users ask odd things
+	oddIDs       int
+	troubleTo    time.Duration // when the last trouble that was brought ends
+}
+
+const (
+	lateLeast = 2 * time.Second
+	lateMost  = 12 * time.Second
+)
+
+func (w *World) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(w.rng.Int64N(int64(most-least)))
+}
+
+func (w *World) befalls(share float64) bool { return share > 0 && w.rng.Float64() < share }
+
+// lateWrite lets a transaction go unanswered and be carried out late, judged by
+// its conditions then. In an outage it waits in the service for its end.
+func (n *node) lateWrite(c step.Call) bool {
+	w := n.w
+	if c.Path != "/commit" || n.denied || w.state.down || w.cut[[2]string{n.name, "state"}] || !w.befalls(w.lateWrites) {
+		return false
+	}
+	var do func()
+	do = func() {
+		if w.state.down {
+			w.after(100*time.Millisecond, do)
+			return
+		}
+		w.state.expire()
+		w.state.commit(c.Body)
+	}
+	w.after(w.between(lateLeast, lateMost), do)
+	return true
+}
+
+// heldUp sends a packet after it was held up for that long.
+func (w *World) heldUp(d time.Duration, from, to string, do func()) {
+	if d == 0 {
+		w.send(from, to, do)
+		return
+	}
+	w.after(d, func() { w.send(from, to, do) })
+}
+
+// heldCommand draws for how long a command and its answer are held up.
+func (w *World) heldCommand(to string) (there, back time.Duration) {
+	if to == "state" || to == "cloud" || !w.befalls(w.heldCommands) {
+		return 0, 0
+	}
+	if w.rng.IntN(2) == 0 {
+		return w.between(time.Second, lateMost), 0
+	}
+	return 0, w.between(time.Second, lateMost)
+}
+
+// heldReport draws where a report arrives, and for how long it and its answer
+// are held up: the worker may have given it up by then.
+func (w *World) heldReport(n *node, path string) (to *node, there, back time.Duration) {
+	if path != "/hello" || !w.befalls(w.heldReports) {
+		return n, 0, 0
+	}
+	switch w.rng.IntN(4) {
+	case 0:
+		return n, 0, w.between(time.Second, lateMost/2)
+	case 1:
+		return n, w.between(500*time.Millisecond, answerTimeout), 0
+	case 2:
+		return n, w.between(lateLeast, lateMost), 0
+	}
+	lease := seconds(w.cfg.Settings.Workers.LeaseS)
+	return w.nodes[w.rng.IntN(len(w.nodes))], w.between(lateLeast, 2*lease), 0
+}
+
+// unreachable tells whether some controller and the machine can't talk.
+func (w *World) unreachable(k *worker) bool {
+	for _, n := range w.nodes {
+		for _, p := range [][2]string{{n.name, k.name}, {k.name, n.name}} {
+			if w.cut[p] || w.lost[p] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// insist sends a user's request again until its answer counts, while the world
+// goes on.
+func (w *World) insist(method, path string, body []byte, take func(asked time.Duration, status int, phase string) bool) {
+	end := w.now + userRetry
+	var try func()
+	try = func() {
+		asked := w.now
+		w.request("user", w.door(), method, path, body, 5*time.Second, func(status int, b []byte) {
+			var v struct {
+				Phase string `json:"phase"`
+			}
+			_ = json.Unmarshal(b, &v)
+			if !take(asked, status, v.Phase) && w.now < end {
+				w.after(time.Second, try)
+			}
+		})
+	}
+	try()
+}
+
+// cancelSoon cancels a job while the world goes on.
+func (w *World) cancelSoon(id string) {
+	w.check.asked[id] = true
+	w.insist("POST", "/submissions/"+id+"/cancel", nil, func(asked time.Duration, status int, phase string) bool {
+		w.check.answered(asked, id, status, phase)
+		return status == 200 || status == 404
+	})
+}
+
+// runningJobs lists the accepted jobs that have a task on a machine and that
+// nobody cancelled.
+func (w *World) runningJobs() []string {
+	var ids []string
+	seen := map[string]bool{}
+	for _, t := range w.check.onMachines() {
+		if id := t.job.id; !seen[id] && w.check.told[id] != "" && !w.check.asked[id] {
+			seen[id] = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// cancelNow cancels so many running jobs within a fifth of a second, and lets
+// up to eight of their machines hang for d.
+func (w *World) cancelNow(count int, d time.Duration) []string {
+	ids := w.runningJobs()
+	w.rng.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
+	ids = ids[:min(count, len(ids))]
+	for _, id := range ids {
+		w.check.asked[id] = true
+		w.after(w.between(0, 200*time.Millisecond), func() { w.cancelSoon(id) })
+	}
+	if d > 0 {
+		hung := map[*worker]bool{}
+		for _, t := range w.check.onMachines() {
+			for _, id := range ids {
+				if t.job.id == id && len(hung) < 8 && !hung[t.on] {
+					hung[t.on] = true
+					k := t.on
+					w.after(w.between(0, 400*time.Millisecond), func() { k.hang(d) })
+				}
+			}
+		}
+	}
+	return ids
+}
+
+// ended is called when a task completes: the last one's job may be cancelled,
+// asked about and submitted again at that very moment.
+func (w *World) ended(j *job) {
+	if len(j.complete) < j.n || w.check.asked[j.id] || !w.befalls(w.cancelEnds) {
+		return
+	}
+	w.check.asked[j.id] = true
+	w.after(w.between(0, time.Second), func() { w.cancelSoon(j.id) })
+	w.after(w.between(0, time.Second), func() { w.repeat(j.id) })
+	w.after(w.between(0, time.Second), func() { w.askOnce(j.id) })
+}
+
+func (w *World) askOnce(id string) {
+	w.insist("GET", "/submissions/"+id, nil, func(asked time.Duration, status int, phase string) bool {
+		w.check.answered(asked, id, status, phase)
+		return true
+	})
+}
+
+// repeat submits a known job again: it is never accepted anew.
+func (w *World) repeat(id string) {
+	j := w.jobs[id]
+	if j.body == nil || w.check.told[id] == "" {
+		return
+	}
+	w.insist("POST", "/submissions", j.body, func(asked time.Duration, status int, phase string) bool {
+		if status == 201 {
+			w.check.broken("accepted: %s once more, it was %s", id, w.check.told[id])
+		}
+		w.check.answered(asked, id, status, phase)
+		return status == 200
+	})
+}
+
+// oddly lets users ask odd things until it is over.
+func (w *World) oddly() {
+	if !w.odd {
+		return
+	}
+	w.after(w.between(200*time.Millisecond, 2*time.Second), w.oddly)
+	var open, done []string
+	for id, phase := range w.check.told {
+		switch phase {
+		case "done":
+			done = append(done, id)
+		case "queued", "running":
+			open = append(open, id)
+		}
+	}
+	sort.Strings(open)
+	sort.Strings(done)
+	switch w.rng.IntN(5) {
+	case 0:
+		if len(open) > 0 {
+			w.repeat(open[w.rng.IntN(len(open))])
+		}
+	case 1:
+		if len(done) > 0 {
+			w.cancelSoon(done[w.rng.IntN(len(done))])
+		}
+	case 2:
+		w.unknown()
+	case 3:
+		w.unfit()
+	case 4:
+		w.lacking()
+	}
+}
+
+func (w *World) oddID() string {
+	w.oddIDs++
+	return fmt.Sprintf("req-9%06d", w.oddIDs)
+}
+
+// unknown asks about and cancels a job that nobody submitted.
+func (w *World) unknown() {
+	id := w.oddID()
+	for _, r := range [][2]string{{"GET", ""}, {"POST", "/cancel"}} {
+		w.insist(r[0], "/submissions/"+id+r[1], nil, func(asked time.Duration, status int, phase string) bool {
+			w.check.answered(asked, id, status, phase)
+			w.check.refusedWith(id, 404, status)
+			return status == 404
+		})
+	}
+}
+
+// unfit submits a job that no machine or no limit fits.
+func (w *World) unfit() {
+	a := Args{"id": w.oddID()}
+	switch w.rng.IntN(4) {
+	case 0:
+		a["cores"] = "17"
+	case 1:
+		a["team"] = "green"
+	case 2:
+		a["shape"], a["shards"], a["cards"] = "gang", "3", "4"
+	case 3:
+		a["flavors"], a["cards"] = "small", "1"
+	}
+	w.refuse(a["id"], w.Body(a), 422)
+}
+
+// lacking submits a job without one of its fields.
+func (w *World) lacking() {
+	a := Args{"id": w.oddID()}
+	var o map[string]any
+	_ = json.Unmarshal(w.Body(a), &o)
+	var fields []string
+	for f := range o {
+		if f != "flavors" && f != "yard" && f != "due_s" {
+			fields = append(fields, f)
+		}
+	}
+	sort.Strings(fields)
+	delete(o, fields[w.rng.IntN(len(fields))])
+	body, _ := json.Marshal(o)
+	w.refuse(a["id"], body, 400)
+}
+
+func (w *World) refuse(id string, body []byte, want int) {
+	j := w.jobs[id]
+	j.submitted, j.never = true, want
+	w.insist("POST", "/submissions", body, func(asked time.Duration, status int, phase string) bool {
+		w.check.answered(asked, id, status, phase)
+		w.check.refusedWith(id, want, status)
+		return status == want
+	})
+}
+
+// refusedWith checks how an odd request was refused: rightly, or, where the
+// node cannot decide it yet, not yet.
+func (c *Checker) refusedWith(id string, want, status int) {
+	undecided := status == 0 || status == 503 || status == 429 || status == 504
+	if status != want && !(undecided && !(want == 400 && status == 503)) {
+		c.broken("refused wrongly: %s answered %d for %d", id, status, want)
+	}
+}
+
+// churn changes the leader so many times within that time, in all the ways
+// that a leader can go.
+func (w *World) churn(times int, over time.Duration, how string) {
+	each := over / time.Duration(times)
+	for i := range times {
+		w.after(time.Duration(i)*each, func() {
+			l := w.Leader()
+			if l == nil || !l.up {
+				return
+			}
+			way := how
+			if way == "" {
+				way = []string{"kill", "kill", "deny", "isolate", "freeze"}[w.rng.IntN(5)]
+			}
+			long := each * 3 / 4
+			switch way {
+			case "kill":
+				l.kill()
+				w.after(w.between(50*time.Millisecond, long/2), func() {
+					if !l.up {
+						l.boot()
+					}
+				})
+			case "deny":
+				w.denyFor(l, long)
+			case "isolate":
+				w.isolateFor(l, long)
+			case "freeze":
+				if !l.frozen {
+					l.freeze(long, w.rng.IntN(2) == 0)
+				}
+			}
+		})
+	}
+}
+
+func (w *World) denyFor(n *node, d time.Duration) {
+	n.denied = true
+	w.after(d, func() { n.denied = false })
+}
+
+func (w *World) isolateFor(n *node, d time.Duration) {
+	w.isolate(n, true)
+	w.after(d, func() { w.isolate(n, false) })
+}
+
+// muteFor lets a machine reach no controller.
+func (w *World) muteFor(k *worker, d time.Duration) {
+	k.mute = true
+	w.after(d, func() { k.mute = false })
+}
+
+// trouble carries out the commands of a scenario that bring troubles, and those
+// that show what came of them.
+func (w *World) trouble(cmd string, a Args) string {
+	switch cmd {
+	case "late_writes":
+		w.lateWrites = a.num("share", "0")
+	case "held_reports":
+		w.heldReports = a.num("share", "0")
+	case "held_commands":
+		w.heldCommands = a.num("share", "0")
+	case "cancel_at_end":
+		w.cancelEnds = a.num("share", "0")
+	case "cancel_now":
+		return strconv.Itoa(len(w.cancelNow(int(a.num("count", "1")), a.dur("hang", "0s"))))
+	case "odd":
+		w.odd = true
+		w.oddly()
+		w.after(a.dur("for", "10s"), func() { w.odd = false })
+	case "churn":
+		w.churn(int(a.num("times", "10")), a.dur("over", "120s"), a["how"])
+	case "mute":
+		for _, k := range w.Workers() {
+			if z, ok := a["zone"]; k.up && (!ok || z == k.zone) {
+				w.muteFor(k, a.dur("for", "5s"))
+			}
+		}
+	case "deafen":
+		for _, k := range w.Workers() {
+			if z, ok := a["zone"]; k.up && (!ok || z == k.zone) {
+				w.Deafen(k, true)
+				w.after(a.dur("for", "5s"), func() { w.Deafen(k, false) })
+			}
+		}
+	case "ask":
+		// From here on users ask that controller.
+		w.users = w.pick(a["node"])[0]
+	case "on":
+		// How many tasks of a job are on machines.
+		n := 0
+		for _, t := range w.check.onMachines() {
+			if t.job.id == a["id"] {
+				n++
+			}
+		}
+		return strconv.Itoa(n)
+	case "told":
+		return w.check.told[a["id"]]
+	case "after":
+		// Starts after a confirmed cancellation.
+		return strconv.Itoa(w.check.after)
+	case "leads":
+		if l := w.Leader(); l != nil {
+			return l.name
+		}
+		return "nobody"
+	default:
+		return "unknown command " + strings.TrimSpace(cmd)
+	}
+	return "ok"
+}
--- /dev/null
+++ b/internal/simtest/waiting.go
@@ -0,0 +1,157 @@
+package simtest
+
+import (
+	"sort"
+	"time"
+)
+
+// besideRoom is how long a job may be left waiting beside a machine that fits
+// and has room, with its team under its limit, once all troubles are over.
+const besideRoom = 90 * time.Second
+
+// waitsBesideRoom notes which jobs wait beside room for them, and since when.
+func (c *Checker) waitsBesideRoom() {
+	if c.calmAt == 0 {
+		return
+	}
+	rooms, used := c.rooms(), c.used()
+	for id, phase := range c.told {
+		j := c.w.jobs[id]
+		if phase == "done" || c.asked[id] || j == nil || j.broken || j.never != 0 || !c.fits(j, rooms, used) {
+			delete(c.beside, id)
+			continue
+		}
+		if _, ok := c.beside[id]; !ok {
+			c.beside[id] = c.w.now
+		}
+	}
+	var ids []string
+	for id, since := range c.beside {
+		if c.w.now-since > besideRoom {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		c.broken("left waiting: %s beside room for it for %s", id, c.w.now-c.beside[id])
+		c.beside[id] = c.w.now
+	}
+}
+
+// room is what is left of a machine.
+type room struct {
+	k                 *worker
+	cores, cards, ram float64
+}
+
+// lastingRoom is for how long room must have been there to count: what comes
+// free and is taken again within that time is a queue that moves.
+const lastingRoom = 5 * time.Second
+
+// rooms lists what has been free for a while on each machine that everybody
+// reaches.
+func (c *Checker) rooms() []room {
+	const moments = int(lastingRoom / watchEvery)
+	var list []room
+	for _, k := range c.w.Workers() {
+		if !k.up || k.hung || k.mute || k.recallAt != 0 || k.slow > 0 || c.w.unreachable(k) {
+			delete(c.free, k)
+			continue
+		}
+		f := flavors[k.flavor]
+		r := room{k, f.cores, f.cards, f.ram}
+		for _, t := range k.tasks {
+			if t.phase != "exited" {
+				r.cores, r.cards, r.ram = r.cores-t.job.cores, r.cards-t.job.cards, r.ram-t.job.ram
+			}
+		}
+		c.free[k] = append(c.free[k], r)
+		if len(c.free[k]) < moments {
+			continue
+		}
+		c.free[k] = c.free[k][len(c.free[k])-moments:]
+		for _, o := range c.free[k] {
+			r.cores, r.cards, r.ram = min(r.cores, o.cores), min(r.cards, o.cards), min(r.ram, o.ram)
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+// used is what each team's tasks take, those included that fetch their image.
+func (c *Checker) used() map[string][2]float64 {
+	use := map[string][2]float64{}
+	for _, k := range c.w.workers {
+		if !k.up {
+			continue
+		}
+		for _, t := range k.tasks {
+			if t.phase != "exited" {
+				u := use[t.job.team]
+				use[t.job.team] = [2]float64{u[0] + t.job.cores, u[1] + t.job.cards}
+			}
+		}
+	}
+	return use
+}
+
+// fits tells whether a job waits though its next task, or all those of a gang,
+// could be started on these rooms.
+func (c *Checker) fits(j *job, rooms []room, used map[string][2]float64) bool {
+	held, inZone := map[int]bool{}, map[string]int{}
+	for _, k := range c.w.workers {
+		if !k.up || k.doomed() {
+			continue
+		}
+		for _, t := range k.tasks {
+			if t.job == j && t.phase != "exited" {
+				held[t.index] = true
+				inZone[k.zone]++
+			}
+		}
+	}
+	need := 0
+	for i := range j.n {
+		if !held[i] && !j.complete[i] {
+			need++
+		}
+	}
+	if need == 0 || (j.shape == "gang" && need < j.n) {
+		return false
+	}
+	if j.shape != "gang" {
+		need = 1
+	}
+	u := used[j.team]
+	for _, team := range c.w.cfg.Settings.Teams {
+		n := float64(need)
+		if team.Name == j.team && ((team.CoresMax > 0 && u[0]+n*j.cores > team.CoresMax) || (team.CardsMax > 0 && u[1]+n*j.cards > team.CardsMax)) {
+			return false
+		}
+	}
+	inOne := map[string]int{}
+	for _, r := range rooms {
+		allowed := j.flavors == nil
+		for _, f := range j.flavors {
+			allowed = allowed || f == r.k.flavor
+		}
+		if !allowed || (j.yard != "" && j.yard != r.k.zone) || (r.k.spot && !j.loaners) || (j.same && len(inZone) > 0 && inZone[r.k.zone] == 0) {
+			continue
+		}
+		for x := 0; x < need && r.cores >= j.cores && r.cards >= j.cards && r.ram >= j.ram; x++ {
+			r.cores, r.cards, r.ram = r.cores-j.cores, r.cards-j.cards, r.ram-j.ram
+			inOne[r.k.zone]++
+		}
+	}
+	sum := 0
+	for z, n := range inOne {
+		if j.scatter {
+			n = min(n, (j.n+1)/2-inZone[z])
+		}
+		if j.same && n >= need {
+			return true
+		}
+		sum += n
+	}
+	return !j.same && sum >= need
+}
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -52,6 +52,7 @@
 	pageLimit int
 	faults    []string // errors of the service against its own limits
 	log       *slog.Logger
+	troubles
 }
 
 type heldPacket struct {
@@ -359,10 +360,14 @@
 		to = wk.name
 		serve = func(a func(int, any)) { wk.serve(c.Path, c.Body, a) }
 	}
-	n.w.send(n.name, to, func() {
+	if to == "state" && n.lateWrite(c) {
+		return
+	}
+	there, back := n.w.heldCommand(to)
+	n.w.heldUp(there, n.name, to, func() {
 		serve(func(status int, v any) {
 			body, _ := json.Marshal(v)
-			n.w.send(to, n.name, func() { finish(status, body) })
+			n.w.heldUp(back, to, n.name, func() { finish(status, body) })
 		})
 		// A repeat of what was carried out, as the network may make it.
 		if c.Method == "POST" && n.w.rng.Float64() < n.w.late {
@@ -394,13 +399,16 @@
 			n.core.Request(now, step.Request{Conn: id, Method: method, Path: path, Body: body}, &n.out)
 		})
 	}
-	w.send(from, n.name, func() {
-		deliver(n, func(status int, body []byte) {
+	to, there, back := w.heldReport(n, path)
+	w.heldUp(there, from, to.name, func() {
+		deliver(to, func(status int, body []byte) {
 			if status == 0 {
 				once(0, nil)
 				return
 			}
-			w.send(n.name, from, func() { once(status, body) })
+			if to == n {
+				w.heldUp(back, n.name, from, func() { once(status, body) })
+			}
 		})
 	})
 	if path == "/hello" && w.rng.Float64() < w.copies {
