--- a/internal/simtest/check.go
+++ b/internal/simtest/check.go
@@ -22,6 +22,7 @@
 	toldAt   map[string]time.Duration // when the phase last told was first told
 	after    int                      // starts after a confirmed cancellation
 	beside   map[string]time.Duration // since when a job waits beside room for it
+	wrote    []int                    // what was written in all, lately
 	free     map[*worker][]room       // what was free on machines lately
 }
 
--- a/internal/simtest/waiting.go
+++ b/internal/simtest/waiting.go
@@ -14,6 +14,10 @@
 	if c.calmAt == 0 {
 		return
 	}
+	if c.writesExhausted() {
+		// The state service's rate is what they wait for: a trouble that lasts.
+		clear(c.beside)
+	}
 	rooms, used := c.rooms(), c.used()
 	for id, phase := range c.told {
 		j := c.w.jobs[id]
@@ -38,6 +42,18 @@
 	}
 }
 
+// writesExhausted tells whether lately as much was written as a service may
+// that leaves a part of the rate for what is in flight.
+func (c *Checker) writesExhausted() bool {
+	const moments, most = int(lastingRoom / watchEvery), 0.75
+	c.wrote = append(c.wrote, c.w.state.written)
+	if len(c.wrote) <= moments {
+		return false
+	}
+	c.wrote = c.wrote[len(c.wrote)-moments-1:]
+	return float64(c.wrote[moments]-c.wrote[0]) > most*c.w.cfg.Settings.State.WriteRPS*lastingRoom.Seconds()
+}
+
 // room is what is left of a machine.
 type room struct {
 	k                 *worker
