A leader that hears no worker keeps its second term until the proof of silence

A node that gave its term up so and has had no worker's report since keeps the next until the proof is there.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -106,6 +106,7 @@
 	cleanAt   step.Time
 	loadAt    step.Time
 	heardAny  step.Time // a worker's report, as leader
+	yielded   bool      // our last term was given up for want of reports, and no worker has come since
 	blocked   []*pipeline.Job
 	rooms     []*place.Room
 	parser    fleet.Parser
@@ -238,13 +239,25 @@
 		n.blocked, n.rooms = nil, nil
 		n.share(now)
 	}
-	if n.leading && now-n.heardAny > deafAfter && n.anyWorkers() {
+	if n.leading && now >= n.patience() && n.anyWorkers() {
 		// Whoever can reach the workers shall have the term.
+		n.yielded = true
 		n.lead.Yield(now, out, "no worker is heard")
 		n.settle(now, out)
 	}
 }
 
+// patience is until when a leader waits for a worker's report. If it gave a
+// term up for that before and no worker has come to it since, none may be left,
+// and terms given up one after the other would keep the proof that the tasks of
+// silent machines are gone from ever being reached: it stays until then.
+func (n *Node) patience() step.Time {
+	if n.yielded {
+		return n.lead.SilentProof(n.heardAny) + deafAfter
+	}
+	return n.heardAny + deafAfter
+}
+
 // anyWorkers tells whether there are workers that ought to report.
 func (n *Node) anyWorkers() bool {
 	used := n.rental.Unheard()
@@ -509,6 +522,7 @@
 		out.Reply(r.Conn, 400, nil)
 		return
 	}
+	n.yielded = false
 	if !n.leading || !n.lead.MayAnswer(now) {
 		n.lead.SawFence(rep.Fence)
 		n.passOn(now, r, rep.Host, out)
@@ -523,7 +537,7 @@
 		n.respond(from, 503, nil, out)
 		return
 	}
-	n.heardAny = now
+	n.heardAny, n.yielded = now, false
 	// An older report that still waits has lost its worker, and its list
 	// proves nothing any more.
 	w := &waitingReport{from: from, report: rep, host: n.names.Hosts.Index(rep.Host), since: now}
