Chained jobs: the graph is kept by edges, and a cancellation reaches all below

The table walked all held jobs each tick and kept those below a cancelled job waiting. It now follows changes: jobs whose last upstream job is done are candidates, jobs below a cancelled one are judged by it at once and get marks of their own a few at a time, effective priorities and deadlines are derived from what needs a job. Intake takes awaits; a list too long for one value is stored in parts that the last write makes count.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,41 @@
 	Times   float64 `json:"times"` // of the deadline
 }
 
+// StateLimits are the state service's.
+type StateLimits struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+	// Next are those it will have from some moment on; absent: the same.
+	Next *struct {
+		RPS      *float64 `json:"rps"`
+		WriteRPS *float64 `json:"write_rps"`
+		ValueKB  *float64 `json:"value_kb"`
+		TxnOps   *int     `json:"txn_ops"`
+	} `json:"next"`
+}
+
+// Lasting are the limits that hold before and after they change: the smaller
+// ones of each kind. They count for all that is written from the start, as the
+// change comes without notice.
+func (s StateLimits) Lasting() StateLimits {
+	if n := s.Next; n != nil {
+		lower(&s.RPS, n.RPS)
+		lower(&s.WriteRPS, n.WriteRPS)
+		lower(&s.ValueKB, n.ValueKB)
+		lower(&s.TxnOps, n.TxnOps)
+	}
+	s.Next = nil
+	return s
+}
+
+func lower[T int | float64](v, next *T) {
+	if next != nil {
+		*v = min(*v, *next)
+	}
+}
+
 // Known tells whether we know what the objective asks for. One of another
 // kind is from a later platform and ignored.
 func (o *Objective) Known() bool {
@@ -75,12 +110,7 @@
 			GangPeerS float64 `json:"gang_peer_s"`
 			CancelS   float64 `json:"cancel_s"`
 		} `json:"workers"`
-		State struct {
-			RPS      float64 `json:"rps"`
-			WriteRPS float64 `json:"write_rps"`
-			ValueKB  float64 `json:"value_kb"`
-			TxnOps   int     `json:"txn_ops"`
-		} `json:"state"`
+		State StateLimits `json:"state"`
 		Cloud struct {
 			RPS      float64 `json:"rps"`
 			ListLagS float64 `json:"list_lag_s"`
@@ -224,6 +254,19 @@
 			return fmt.Errorf("settings.%s must be positive", v.name)
 		}
 	}
+	if n := s.State.Next; n != nil {
+		for _, v := range []struct {
+			name string
+			bad  bool
+		}{
+			{"rps", n.RPS != nil && !(*n.RPS > 0)}, {"write_rps", n.WriteRPS != nil && !(*n.WriteRPS > 0)},
+			{"value_kb", n.ValueKB != nil && !(*n.ValueKB > 0)}, {"txn_ops", n.TxnOps != nil && *n.TxnOps <= 0},
+		} {
+			if v.bad {
+				return fmt.Errorf("settings.state.next.%s must be positive", v.name)
+			}
+		}
+	}
 	if s.Cloud.ListLagS < 0 {
 		return fmt.Errorf("settings.cloud.list_lag_s must not be negative")
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,8 @@
 	cleanEvery = time.Second
 	cleanJobs  = 2
 	staleAfter = 3 * time.Second
+	showApart  = time.Second
+	showRetry  = 5 * time.Second  // between two tries to store the version
 	loadEvery  = 10 * time.Second // between two lines of the log about the load
 	// A leader that hears no worker for this long gives the term up.
 	deafAfter = 12 * time.Second
@@ -102,6 +104,8 @@
 	fleetAt   step.Time
 	cleanAt   step.Time
 	loadAt    step.Time
+	showing   bool      // the version's key is being written
+	showAt    step.Time // when it may be tried again
 	heardAny  step.Time // a worker's report, as leader
 	blocked   []*pipeline.Job
 	rooms     []*place.Room
@@ -121,19 +125,25 @@
 	for _, t := range s.Teams {
 		teams[n.names.Teams.Index(t.Name)] = t
 	}
-	n.jobs = pipeline.NewTable(n.names, int(s.State.ValueKB*1024), s.State.TxnOps)
+	// The layout of run records follows from the present limit, which is all
+	// that the version in production knows.
+	limits := s.State.Lasting()
+	n.jobs = pipeline.NewTable(n.names, int(s.State.ValueKB*1024), limits.TxnOps)
+	n.jobs.ValueLimit = int(limits.ValueKB * 1024)
 	lease := config.Seconds(s.Workers.LeaseS)
 	grace := lead.GraceFor(config.Seconds(s.Workers.CancelS), lease)
 	// A leader answers reports only while its replica is fresher than the
 	// grace: where cancellations have little time, an idle one must not age.
-	n.store = store.New(cfg.Services.State, store.Limits{TxnOps: s.State.TxnOps, RPS: s.State.RPS, WriteRPS: s.State.WriteRPS,
+	n.store = store.New(cfg.Services.State, store.Limits{TxnOps: limits.TxnOps, RPS: limits.RPS, WriteRPS: limits.WriteRPS,
 		StaleAfter: min(staleAfter, grace/4)}, n.listen)
+	n.store.Log = log
 	labels := []string{cfg.Label}
 	for _, p := range cfg.Seeds {
 		labels = append(labels, p.Label)
 		n.peers = append(n.peers, &peerState{label: p.Label, heard: -time.Hour})
 	}
 	sort.Strings(labels)
+	n.jobs.Labels = labels
 	n.lead = lead.New(lead.Config{Label: cfg.Label, Rank: sort.SearchStrings(labels, cfg.Label), Life: time.Duration(cfg.Operator.Term.Life),
 		Lease: lease, Grace: grace}, n.store, log)
 	n.fleet = fleet.New(n.names, n.jobs, log)
@@ -142,7 +152,7 @@
 		IdleKeep: time.Duration(cfg.Operator.Rental.IdleKeep), Settle: time.Duration(cfg.Operator.Rental.Settle)}, n.names, n.jobs, n.fleet, n.store, log)
 	n.placer = &place.Placer{Jobs: n.jobs, Fleet: n.fleet, Flavors: &n.rental.Flavors, Teams: teams, Report: config.Seconds(s.Workers.ReportS), Silent: n.silent()}
 	n.intake = intake.New(intake.Config{Label: cfg.Label, Teams: s.Teams, Answer: time.Duration(cfg.Operator.Intake.Answer),
-		ValueBytes: int(s.State.ValueKB * 1024)}, n.names, n.jobs, n.store, &n.rental.Flavors)
+		ValueBytes: n.jobs.ValueLimit, TxnOps: limits.TxnOps}, n.names, n.jobs, n.store, &n.rental.Flavors)
 	n.share(0)
 	return n
 }
@@ -156,7 +166,7 @@
 // says it could use; one that we do not hear counts with its sure part.
 // It returns what we could use ourselves.
 func (n *Node) share(now step.Time) (requests, writes float64) {
-	s := n.cfg.Settings.State
+	s := n.cfg.Settings.State.Lasting()
 	requests, writes = n.store.Demand(now)
 	n.store.SetShare(n.split(s.RPS, requests, func(f *peer.Frame) uint16 { return f.Requests }),
 		n.split(s.WriteRPS, writes, func(f *peer.Frame) uint16 { return f.Writes }))
@@ -195,6 +205,10 @@
 	}
 }
 
+// Clock tells the time of day at a steady time: other processes count what is
+// stored from another start.
+func (n *Node) Clock(now step.Time, wall time.Time) { n.jobs.SetClock(now, wall) }
+
 // Tick advances time.
 func (n *Node) Tick(now step.Time, out *step.Out) {
 	n.jobs.Now = int64(now)
@@ -203,7 +217,9 @@
 	n.settle(now, out)
 	n.beat(now, out)
 	n.expireRelays(now, out)
-	n.markReady(now)
+	n.showVersion(now)
+	n.mark(now)
+	n.intake.Tick(now, out)
 	if !n.lead.Entitled(now) {
 		if !n.leading {
 			n.rental.Types(now, nil, out)
@@ -286,6 +302,7 @@
 	if now-n.cleanAt >= cleanEvery {
 		n.cleanAt = now
 		n.jobs.Clean(now, n.lead.Cond(), n.store, cleanJobs)
+		n.jobs.CutParts(now, n.lead.Cond(), n.store)
 	}
 }
 
@@ -368,16 +385,44 @@
 	}
 }
 
-// markReady writes the ready mark of held jobs that we own, and as leader of
-// those whose owner is away. The write requires the record as it was, so two
-// owners do no harm.
-func (n *Node) markReady(now step.Time) {
+// mark writes the ready marks of held jobs and the cancelled marks of jobs
+// below a cancelled one, of those that we own and as leader of those whose owner
+// is away. Each write requires the record as it was, so two owners do no harm.
+func (n *Node) mark(now step.Time) {
+	if !n.store.Synced() {
+		return
+	}
+	ours := func(j *pipeline.Job) bool {
+		return j.Owner == n.cfg.Label || (n.leading && !n.ownerPresent(j.Owner))
+	}
 	for _, j := range n.jobs.Held() {
-		if j.Owner != n.cfg.Label && !(n.leading && !n.ownerPresent(j.Owner)) {
-			continue
+		if ours(j) {
+			n.jobs.MarkReady(j, now, n.store)
 		}
-		n.jobs.MarkReady(j, now, n.store)
 	}
+	n.jobs.MarkDoomed(now, n.store, ours)
+}
+
+// showVersion stores, once, that this controller runs this version. It is in no
+// hurry: after a start of all, terms and users go first and the controllers
+// follow one another.
+func (n *Node) showVersion(now step.Time) {
+	key := pipeline.VersionKey + "/" + n.cfg.Label
+	if n.showing || !n.store.Synced() || n.store.Stamp(key) != 0 || n.lead.Holder() == "" {
+		return
+	}
+	if n.showAt == 0 {
+		n.showAt = now + showRetry + showApart*step.Time(slices.Index(n.jobs.Labels, n.cfg.Label))
+	}
+	if now < n.showAt {
+		return
+	}
+	n.showing = true
+	n.store.Submit(&store.Intent{Priority: store.Progress, Conds: []store.Cond{{Key: key}},
+		Writes: []store.Write{{Key: key, Data: pipeline.Version}},
+		Done: func(r store.Result) {
+			n.showing, n.showAt = false, r.Now+showRetry
+		}}, now+time.Minute)
 }
 
 func (n *Node) ownerPresent(label string) bool {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -25,6 +25,8 @@
 
 // Core is the state machine that the engine drives.
 type Core interface {
+	// Clock tells the time of day before each Tick.
+	Clock(now step.Time, wall time.Time)
 	Tick(now step.Time, out *step.Out)
 	Request(now step.Time, r step.Request, out *step.Out)
 	CallDone(now step.Time, d step.CallDone, out *step.Out)
@@ -206,6 +208,7 @@
 		e.swept = now
 		e.sweep(now)
 	}
+	e.core.Clock(now, time.Now())
 	e.step(func() { e.core.Tick(now, &e.out) })
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -24,6 +24,8 @@
 	done   chan step.CallDone
 }
 
+func (e *echo) Clock(step.Time, time.Time) {}
+
 func (e *echo) Tick(_ step.Time, out *step.Out) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -51,6 +53,8 @@
 	order chan string
 }
 
+func (s *slow) Clock(step.Time, time.Time) {}
+
 func (s *slow) Tick(step.Time, *step.Out) {
 	select {
 	case s.order <- "tick":
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,6 +23,7 @@
 	Teams      []config.Team
 	Answer     time.Duration // a request that is not decided by then gets 503
 	ValueBytes int
+	TxnOps     int
 }
 
 const (
@@ -43,11 +44,13 @@
 	store   *store.Client
 	flavors *place.Flavors
 	teams   map[string]config.Team
+	// attempts are the submissions whose list of upstream jobs is being stored.
+	attempts map[string]*attempt
 }
 
 // New returns the slice.
 func New(cfg Config, n *pipeline.Names, t *pipeline.Table, s *store.Client, f *place.Flavors) *Intake {
-	in := &Intake{cfg: cfg, names: n, jobs: t, store: s, flavors: f, teams: map[string]config.Team{}}
+	in := &Intake{cfg: cfg, names: n, jobs: t, store: s, flavors: f, teams: map[string]config.Team{}, attempts: map[string]*attempt{}}
 	for _, t := range cfg.Teams {
 		in.teams[t.Name] = t
 	}
@@ -95,11 +98,23 @@
 	return b
 }
 
-// state answers from the replica; nil if the job is not known.
-func (in *Intake) state(id string) []byte {
+// over answers from memory if the job is over, since that never changes: its
+// own mark is there, or that of a cancelled job which it needs. Else nil.
+func (in *Intake) over(id string) []byte {
 	if f, ok := in.jobs.Finals[id]; ok {
 		return in.final(id, f)
 	}
+	if j := in.jobs.Job(id); j != nil && j.Stamp != 0 && j.Doomed() {
+		return in.final(id, pipeline.Final{Phase: pipeline.Cancelled})
+	}
+	return nil
+}
+
+// state answers from the replica; nil if the job is not known.
+func (in *Intake) state(id string) []byte {
+	if b := in.over(id); b != nil {
+		return b
+	}
 	j := in.jobs.Job(id)
 	if j == nil || j.Stamp == 0 {
 		return nil
@@ -117,8 +132,8 @@
 // else waits for a read barrier: no answer may be older than one that any
 // node has given.
 func (in *Intake) poll(now step.Time, conn uint64, id string, out *step.Out) {
-	if f, ok := in.jobs.Finals[id]; ok {
-		out.Reply(conn, 200, in.final(id, f))
+	if b := in.over(id); b != nil {
+		out.Reply(conn, 200, b)
 		return
 	}
 	if in.out(now) {
@@ -137,8 +152,8 @@
 }
 
 func (in *Intake) cancel(now step.Time, conn uint64, id string, tries int, out *step.Out) {
-	if f, ok := in.jobs.Finals[id]; ok {
-		out.Reply(conn, 200, in.final(id, f))
+	if b := in.over(id); b != nil {
+		out.Reply(conn, 200, b)
 		return
 	}
 	if in.out(now) || tries >= cancelTries {
@@ -161,7 +176,7 @@
 	}
 	in.store.Submit(&store.Intent{Priority: store.Cancel,
 		Conds:  []store.Cond{{Key: pipeline.JobKeyOf(id), Stamp: j.Stamp}, {Key: pipeline.FinalKeyOf(id)}},
-		Writes: []store.Write{{Key: pipeline.FinalKeyOf(id), Data: pipeline.EncodeFinal(pipeline.Cancelled, j.N)}},
+		Writes: []store.Write{{Key: pipeline.FinalKeyOf(id), Data: pipeline.EncodeFinal(pipeline.Cancelled, j)}},
 		Done: func(r store.Result) {
 			switch r.Outcome {
 			case store.OK:
@@ -203,6 +218,10 @@
 	SnapEvery *float64  `json:"snapshot_every_s"`
 	SnapCost  *float64  `json:"snapshot_s"`
 	Due       *float64  `json:"due_s"`
+	// Awaits is decoded apart: a repeat is known by its id whatever it lists.
+	Awaits json.RawMessage `json:"awaits"`
+
+	up []string
 }
 
 var (
@@ -212,6 +231,7 @@
 
 	errMalformed  = errors.New("malformed")
 	errImpossible = errors.New("can never run")
+	errAwaits     = errors.New("awaits is not a list of ids")
 	errUndecided  = errors.New("machine types are not known yet")
 )
 
@@ -252,7 +272,29 @@
 	if t := bytes.TrimSpace(body); len(t) == 0 || t[0] != '{' || json.Unmarshal(body, s) != nil || !s.complete() {
 		return nil, errMalformed
 	}
-	return s, nil
+	return s, s.awaits()
+}
+
+// awaits reads the list of upstream jobs, each once.
+func (s *submission) awaits() error {
+	if len(s.Awaits) == 0 {
+		return nil
+	}
+	var list []*string
+	if json.Unmarshal(s.Awaits, &list) != nil {
+		return errAwaits
+	}
+	seen := map[string]bool{}
+	for _, id := range list {
+		if id == nil || !idForm.MatchString(*id) {
+			return errAwaits
+		}
+		if !seen[*id] {
+			seen[*id] = true
+			s.up = append(s.up, *id)
+		}
+	}
+	return nil
 }
 
 // job turns a submission into a vertex, or says why it can never run.
@@ -305,14 +347,14 @@
 
 // submit accepts a job once its vertex is stored.
 func (in *Intake) submit(now step.Time, r step.Request, out *step.Out) {
-	s, err := parse(r.Body)
-	if err != nil {
+	s, malformed := parse(r.Body)
+	if malformed != nil && s == nil {
 		out.Reply(r.Conn, 400, nil)
 		return
 	}
 	id := *s.ID
-	if f, ok := in.jobs.Finals[id]; ok {
-		out.Reply(r.Conn, 200, in.final(id, f))
+	if b := in.over(id); b != nil {
+		out.Reply(r.Conn, 200, b)
 		return
 	}
 	if in.out(now) {
@@ -323,35 +365,93 @@
 		in.poll(now, r.Conn, id, out) // known: never 400 or 422 from here on
 		return
 	}
+	if malformed != nil {
+		in.refuse(r.Conn, id, 400, nil)
+		return
+	}
 	j, err := in.job(s)
 	switch {
 	case errors.Is(err, errUndecided):
 		out.Busy(r.Conn, retryAfter)
-		return
 	case err != nil:
-		// The job may have been accepted a moment ago by a node that knew
-		// another list of machine types: only an id that the store does not
-		// hold is refused.
-		in.store.Barrier(func(_ step.Time, ok bool, out *step.Out) {
-			if !ok {
-				out.Busy(r.Conn, retryAfter)
-			} else if st := in.state(id); st != nil {
-				out.Reply(r.Conn, 200, st)
-			} else {
-				out.Reply(r.Conn, 422, nil)
+		in.refuse(r.Conn, id, 422, nil)
+	case !in.known(id, s.up):
+		// The replica may be behind the node that accepted what it names.
+		in.refuse(r.Conn, id, 422, func(now step.Time, out *step.Out) bool {
+			if !in.known(id, s.up) {
+				return false
 			}
+			in.accept(now, r.Conn, j, s.up, out)
+			return true
 		})
-		return
+	default:
+		in.accept(now, r.Conn, j, s.up, out)
 	}
+}
+
+// refuse answers a submission with a status for good, behind a barrier: the job
+// may have been accepted a moment ago by a node that knew more. rescue, if set,
+// may take the submission after all.
+func (in *Intake) refuse(conn uint64, id string, status int, rescue func(now step.Time, out *step.Out) bool) {
+	in.store.Barrier(func(now step.Time, ok bool, out *step.Out) {
+		if !ok {
+			out.Busy(conn, retryAfter)
+		} else if st := in.state(id); st != nil {
+			out.Reply(conn, 200, st)
+		} else if rescue == nil || !rescue(now, out) {
+			out.Reply(conn, status, nil)
+		}
+	})
+}
+
+// known tells whether the replica shows that a job may await all of a list:
+// accepted jobs, other than itself, that are no services.
+func (in *Intake) known(id string, up []string) bool {
+	for _, u := range up {
+		if u == id {
+			return false
+		}
+		if f, ok := in.jobs.Finals[u]; ok {
+			if f.Daemon {
+				return false
+			}
+			continue
+		}
+		if j := in.jobs.Job(u); j == nil || j.Stamp == 0 || j.Shape == pipeline.Daemon {
+			return false
+		}
+	}
+	return true
+}
+
+// accept stores the vertex of a job that can run.
+func (in *Intake) accept(now step.Time, conn uint64, j *pipeline.Job, up []string, out *step.Out) {
+	j.Submitted = in.jobs.UnixMS(now)
+	for _, u := range up {
+		j.Ready = j.Ready && in.jobs.Finals[u].Phase == pipeline.Done
+	}
+	if j.Ready {
+		j.ReadyAt = j.Submitted
+	}
+	lists := in.layOut(j, up)
 	data := pipeline.Encode(in.names, j)
-	if len(data) > in.cfg.ValueBytes {
-		out.Reply(r.Conn, 400, nil)
+	room := in.cfg.ValueBytes
+	if lists != nil {
+		room -= stampRoom
+	}
+	if len(data) > room {
+		out.Reply(conn, 400, nil)
 		return
 	}
 	if best, _ := in.store.Backlog(store.Accept); best > in.cfg.Answer.Seconds() {
 		// It would wait for longer than its user does: told so at once, the
 		// user is not kept, and what waits already keeps its turn.
-		in.later(r.Conn, out)
+		in.later(conn, out)
+		return
+	}
+	id := j.ID
+	if lists != nil {
+		in.begin(now, conn, j, lists, out)
 		return
 	}
 	in.store.Submit(&store.Intent{Priority: store.Accept,
@@ -360,16 +460,49 @@
 		Done: func(res store.Result) {
 			switch res.Outcome {
 			case store.OK:
-				b, _ := json.Marshal(answer{ID: id, Phase: phaseNames[pipeline.Queued]})
-				res.Out.Reply(r.Conn, 201, b)
+				res.Out.Reply(conn, 201, in.accepted(id))
 			case store.Refused:
-				in.later(r.Conn, res.Out)
+				in.later(conn, res.Out)
 			default:
-				in.afterUnknown(r.Conn, id)
+				in.afterUnknown(conn, id)
 			}
 		}}, now+in.cfg.Answer)
 }
 
+// accepted is what the user of a new job is told: if it needs a cancelled one
+// it is cancelled at once.
+func (in *Intake) accepted(id string) []byte {
+	if b := in.over(id); b != nil {
+		return b
+	}
+	b, _ := json.Marshal(answer{ID: id, Phase: phaseNames[pipeline.Queued]})
+	return b
+}
+
+// layOut puts a list of upstream jobs into the record if it still fits there
+// once the record tells when the job became ready; else it returns the values
+// of the keys that hold it. A job that is ready needs no list.
+func (in *Intake) layOut(j *pipeline.Job, up []string) [][]byte {
+	if len(up) == 0 {
+		return nil
+	}
+	j.Up = up
+	full := *j
+	full.Ready, full.ReadyAt = true, j.Submitted+1 // as long as any later time
+	if len(pipeline.Encode(in.names, &full)) <= in.cfg.ValueBytes {
+		return nil
+	}
+	if j.Up = nil; j.Ready {
+		return nil
+	}
+	lists := pipeline.EncodeParts(up, in.cfg.ValueBytes)
+	j.Parts = len(lists)
+	return lists
+}
+
+// stampRoom is what the stamp of a list takes in a record at most.
+const stampRoom = 32
+
 // later refuses a submission for as long as what waits before it takes.
 func (in *Intake) later(conn uint64, out *step.Out) {
 	_, wait := in.store.Backlog(store.Accept)
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -130,16 +130,41 @@
 	Index int
 	Spec
 	Owner string
-	Up    []string
-	Ready bool
+	Up    []string // upstream jobs that the record lists itself
+	Parts int      // so many keys hold the list instead, 0: none
+	// Attempt is the stamp of the list's part 0: what another attempt to submit
+	// the job has left behind is no part of it.
+	Attempt uint64
+	Ready   bool
+	// Submitted and ReadyAt are when it was submitted and when the last job
+	// that it needs was done, in unix ms; 0: not known.
+	Submitted, ReadyAt int64
 	// Order is the epoch at which the job became ready: ready jobs start in
 	// that order.
 	Order uint64
-	// FirstSeen is the steady time at which this node saw it ready.
+	// FirstSeen is the steady time at which it became ready, or at which this
+	// node saw it ready if its record does not tell.
 	FirstSeen int64
-	Stamp     uint64 // of the job record, 0: none held
-	Final     Phase  // Done or Cancelled once marked, else Queued
-	Chunk     []Chunk
+	// EffRank and EffDue are its effective priority and deadline (steady time in
+	// ns): its own, or those of the unfinished jobs that need it if they ask for
+	// more. They are derived as the graph changes and never stored.
+	EffRank Rank
+	EffDue  int64
+	Chained bool // it has upstream jobs, or had one that needs it
+
+	dueAt    int64    // its own deadline, steady time in ns
+	waits    []string // the upstream ids under which it is listed, while linked
+	linked   bool
+	missing  int  // of these, those without a done mark
+	doomed   bool // a job that it needs is cancelled
+	full     bool // its effective values are to be derived anew
+	toldRank Rank // what its upstream jobs inherited of it
+	toldDue  int64
+	retryAt  int64  // no mark is written before this steady time
+	refused  int    // writes in a row that the state service called malformed
+	Stamp    uint64 // of the job record, 0: none held
+	Final    Phase  // Done or Cancelled once marked, else Queued
+	Chunk    []Chunk
 
 	done     int // tasks marked done in run records
 	active   int // entries
@@ -169,6 +194,8 @@
 	dirty   bool
 	placing bool // a placement is not part of any write yet, or its write failed
 	version int  // counts the wishes, to tell what a write has carried
+	left    int  // placements that the last write had no room for
+	refused int  // writes in a row that the state service called malformed
 	retryAt int64
 }
 
@@ -229,12 +256,19 @@
 	if j.Final != Queued {
 		return j.Final
 	}
+	if j.doomed {
+		return Cancelled
+	}
 	if j.active > 0 {
 		return Running
 	}
 	return Queued
 }
 
+// Doomed tells whether a job that it needs is cancelled: it is cancelled with
+// that, whether its own mark is stored yet or not.
+func (j *Job) Doomed() bool { return j.doomed }
+
 // MaxTry is the highest attempt used by any task of the job.
 func (j *Job) MaxTry() uint64 {
 	var t uint64
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -13,8 +13,9 @@
 
 // Final is a job's final mark.
 type Final struct {
-	Phase Phase
-	N     int
+	Phase  Phase
+	N      int
+	Daemon bool // as far as the mark tells
 }
 
 // Usage is what tasks take of machines or of a team's limit.
@@ -30,7 +31,7 @@
 	Finals   map[string]Final
 	byHost   [][]*Entry // by machine
 	team     map[int]Usage
-	waiting  map[string][]*Job // upstream id -> jobs held by it
+	graph    graph
 	dirty    map[*Job]bool
 	free     []int
 	ended    map[*Job]bool // marked while tasks of theirs may be on machines
@@ -42,13 +43,21 @@
 	Now int64
 	// Changed is set whenever something that placement looks at has changed.
 	Changed bool
+	// ValueLimit bounds the values that are written. It may be smaller than
+	// what the chunks were laid out for, which all versions must agree on.
+	ValueLimit int
+	// Labels are those of all controllers.
+	Labels []string
+
+	versions map[string]bool // the controllers that have shown this version
+	wall     int64           // unix ns at steady time 0, 0: not told yet
 }
 
 // NewTable returns an empty table. valueBytes and txnOps are the state
 // service's limits.
 func NewTable(n *Names, valueBytes, txnOps int) *Table {
 	return &Table{Names: n, chunkLen: max(16, min(1024, valueBytes/32)), txnOps: txnOps, byID: map[string]*Job{}, Finals: map[string]Final{},
-		team: map[int]Usage{}, waiting: map[string][]*Job{}, dirty: map[*Job]bool{}, ended: map[*Job]bool{},
+		team: map[int]Usage{}, graph: newGraph(), versions: map[string]bool{}, ValueLimit: valueBytes, dirty: map[*Job]bool{}, ended: map[*Job]bool{},
 		isListed: map[int]bool{}}
 }
 
@@ -120,6 +129,16 @@
 		}
 	case FinalKey:
 		t.onFinal(rest, data)
+	case VersionKey:
+		t.versions[rest] = data != nil
+	case PartKey:
+		i := strings.LastIndexByte(rest, '/')
+		if i < 0 {
+			return
+		}
+		if n, err := strconv.Atoi(rest[i+1:]); err == nil && n >= 0 {
+			t.onPart(rest[:i], n, data, stamp)
+		}
 	default:
 		return
 	}
@@ -130,7 +149,7 @@
 func (t *Table) get(id string) *Job {
 	j := t.byID[id]
 	if j == nil {
-		j = &Job{ID: id, chunkLen: t.chunkLen, Spec: Spec{Zone: -1}}
+		j = &Job{ID: id, chunkLen: t.chunkLen, Spec: Spec{Zone: -1}, EffDue: NoDue, dueAt: NoDue, toldDue: NoDue}
 		if n := len(t.free); n > 0 {
 			j.Index, t.free = t.free[n-1], t.free[:n-1]
 			t.Jobs[j.Index] = j
@@ -159,6 +178,7 @@
 	delete(t.byID, j.ID)
 	delete(t.dirty, j)
 	delete(t.ended, j)
+	delete(t.graph.stale, j)
 	t.Jobs[j.Index] = nil
 	t.free = append(t.free, j.Index)
 }
@@ -167,6 +187,8 @@
 	if data == nil {
 		if j := t.byID[id]; j != nil {
 			j.Stamp = 0
+			t.unlink(j)
+			t.spare(j)
 			t.forget(j)
 		}
 		return
@@ -183,12 +205,11 @@
 	j.Stamp = stamp
 	if j.Ready && !was {
 		j.Order, j.FirstSeen = stamp, max(t.Now, 1)
-	}
-	if !j.Ready {
-		for _, up := range j.Up {
-			t.waiting[up] = append(t.waiting[up], j)
+		if j.ReadyAt != 0 && t.wall != 0 {
+			j.FirstSeen = t.steady(j.ReadyAt)
 		}
 	}
+	t.onGraph(j)
 }
 
 func (t *Table) recount(j *Job, sign float64) {
@@ -315,13 +336,16 @@
 	if json.Unmarshal(data, &r) != nil {
 		return
 	}
-	f := Final{Phase: Done, N: r.N}
+	f := Final{Phase: Done, N: r.N, Daemon: r.Daemon}
 	if r.Phase == markCancelled {
 		f.Phase = Cancelled
 	}
 	t.Finals[id] = f
+	t.settleMark(id, f.Phase)
 	if j := t.byID[id]; j != nil {
 		j.Final = f.Phase
+		t.unlink(j)
+		t.spare(j)
 		if j.active > 0 {
 			t.ended[j] = true
 			j.Entries(func(e *Entry) { t.Touch(e.Host) })
@@ -351,54 +375,10 @@
 	return list
 }
 
-// Held returns the jobs that an upstream mark may have freed, for their
-// owners to mark ready.
-func (t *Table) Held() []*Job {
-	var list []*Job
-	for up, jobs := range t.waiting {
-		if t.Finals[up].Phase != Done {
-			continue
-		}
-		for _, j := range jobs {
-			if t.byID[j.ID] == j && !j.Ready && j.Final == Queued && t.upDone(j) {
-				list = append(list, j)
-			}
-		}
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].Stamp < list[b].Stamp })
-	return list
-}
-
-func (t *Table) upDone(j *Job) bool {
-	for _, up := range j.Up {
-		if t.Finals[up].Phase != Done {
-			return false
-		}
-	}
-	return true
-}
-
-// Released is to be called when a held job is ready or over.
-func (t *Table) Released(j *Job) {
-	for _, up := range j.Up {
-		list := t.waiting[up]
-		for i, o := range list {
-			if o == j {
-				list = append(list[:i:i], list[i+1:]...)
-				break
-			}
-		}
-		if len(list) == 0 {
-			delete(t.waiting, up)
-		} else {
-			t.waiting[up] = list
-		}
-	}
-}
-
 // Unfinished returns the ready jobs that are not over, in the order in which
 // they became ready.
 func (t *Table) Unfinished() []*Job {
+	t.inherit()
 	var list []*Job
 	for _, j := range t.Jobs {
 		if j != nil && j.Stamp != 0 && j.Ready && j.Final == Queued {
@@ -525,6 +505,7 @@
 const (
 	writeFor  = 20 * time.Second // a wish waits this long for the write rate
 	retryWait = int64(200 * time.Millisecond)
+	leftWait  = int64(time.Second) // until placements that had no room are tried again
 )
 
 // Submitter queues intents; *store.Client is one.
@@ -596,7 +577,7 @@
 			return false
 		}
 		in.Conds = []store.Cond{term, {Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}}
-		in.Writes = []store.Write{{Key: FinalKeyOf(j.ID), Data: EncodeFinal(Done, j.N)}, {Key: JobKeyOf(j.ID)}}
+		in.Writes = []store.Write{{Key: FinalKeyOf(j.ID), Data: EncodeFinal(Done, j)}, {Key: JobKeyOf(j.ID)}}
 		if t.atOnce(j) {
 			for c := range j.Chunk {
 				in.Conds = append(in.Conds, store.Cond{Key: runKey(j.ID, c), Stamp: j.Chunk[c].Stamp})
@@ -610,8 +591,9 @@
 	in.Done = func(r store.Result) {
 		j.finishing = false
 		if r.Outcome != store.OK {
+			j.backOff(r)
 			for c := range j.Chunk {
-				j.Chunk[c].retryAt = int64(r.Now) + retryWait
+				j.Chunk[c].retryAt = j.retryAt
 			}
 		}
 	}
@@ -660,13 +642,21 @@
 					t.Changed = true
 				}
 			}
-			if ch.version == built {
+			ch.refused = 0
+			switch {
+			case ch.version != built:
+			case ch.left > 0:
+				ch.placing, ch.retryAt = true, int64(r.Now)+leftWait
+			default:
 				ch.dirty = false
 			}
 		case ch.dirty:
 			// The wish stands. If the write was carried out unseen, its
 			// retry conflicts until the replica shows it, then builds on it.
-			ch.retryAt = int64(r.Now) + retryWait
+			ch.retryAt = int64(r.Now) + retryAfter(r, &ch.refused)
+			if ch.left > 0 {
+				ch.retryAt = max(ch.retryAt, int64(r.Now)+leftWait)
+			}
 			t.dirty[j] = true
 			for _, e := range ch.Entries {
 				ch.placing = ch.placing || (e.Wish == Keep && !e.Durable)
@@ -680,13 +670,18 @@
 func (t *Table) build(in *store.Intent, j *Job, c int, term store.Cond) bool {
 	ch := &j.Chunk[c]
 	done := append([]uint64(nil), ch.Done...)
-	var active []*Entry
+	var active, fresh []*Entry
 	ch.placing = false
+	changed := false
 	for _, e := range ch.Entries {
+		changed = changed || e.Wish != Keep
 		switch e.Wish {
 		case Keep:
-			active = append(active, e)
-			e.sent = true
+			if e.Durable {
+				active = append(active, e)
+			} else {
+				fresh = append(fresh, e)
+			}
 		case MarkDone:
 			done[e.Task%t.chunkLen/64] |= 1 << (e.Task % t.chunkLen % 64)
 		case Clear:
@@ -695,6 +690,7 @@
 	}
 	for task := range j.doneUnlog {
 		if task/t.chunkLen == c {
+			changed = true
 			done[task%t.chunkLen/64] |= 1 << (task % t.chunkLen % 64)
 		}
 	}
@@ -702,18 +698,67 @@
 	if j.Final == Queued {
 		in.Conds = append(in.Conds, store.Cond{Key: FinalKeyOf(j.ID)})
 	}
-	if j.Final != Queued && len(active) == 0 {
+	if j.Final != Queued && len(active)+len(fresh) == 0 {
+		ch.left = 0
 		if ch.Stamp == 0 {
 			ch.dirty = false
 			return false
 		}
 		in.Writes = []store.Write{{Key: runKey(j.ID, c)}}
 	} else {
-		in.Writes = []store.Write{{Key: runKey(j.ID, c), Data: encodeRun(t.Names, ch.Try, done, active)}}
+		data, taken := t.fit(j, ch, done, active, fresh)
+		if ch.left = len(fresh) - len(taken); ch.left > 0 && len(taken) == 0 && !changed {
+			return false // what is stored says it all
+		}
+		for _, e := range taken {
+			e.sent = true
+		}
+		in.Writes = []store.Write{{Key: runKey(j.ID, c), Data: data}}
 	}
 	return true
 }
 
+// fit encodes a chunk within the limit on values: as every version reads it
+// while that fits, else compact once every controller is known to read that.
+// Placements that are not stored yet are left out until there is room for them,
+// those of a gang all together; taken are the others.
+func (t *Table) fit(j *Job, ch *Chunk, done []uint64, active, fresh []*Entry) (data []byte, taken []*Entry) {
+	encode := func(n int) []byte {
+		list := slices.Concat(active, fresh[:n])
+		data := encodeRun(t.Names, ch.Try, done, list, false)
+		if len(data) > t.ValueLimit && t.AllNew() {
+			data = encodeRun(t.Names, ch.Try, done, list, true)
+		}
+		return data
+	}
+	if data = encode(len(fresh)); len(data) <= t.ValueLimit || len(fresh) == 0 {
+		return data, fresh
+	}
+	sort.Slice(fresh, func(a, b int) bool { return fresh[a].Task < fresh[b].Task })
+	n := 0
+	if j.Shape != Gang {
+		n = sort.Search(len(fresh), func(n int) bool { return len(encode(n+1)) > t.ValueLimit })
+	}
+	return encode(n), fresh[:n]
+}
+
+// VersionKey is the kind of the keys v/<label> by which each controller shows,
+// for good, that it runs this version.
+const VersionKey = "v"
+
+// Version is what is stored there.
+var Version = []byte(`{"v":3}`)
+
+// AllNew tells whether every controller has shown that it runs this version.
+func (t *Table) AllNew() bool {
+	for _, l := range t.Labels {
+		if !t.versions[l] {
+			return false
+		}
+	}
+	return len(t.Labels) > 0
+}
+
 // Clean drops the records that finished jobs leave behind, once nothing of
 // theirs can be on a machine; at most limit jobs at a time.
 func (t *Table) Clean(now time.Duration, term store.Cond, s Submitter, limit int) {
@@ -721,7 +766,7 @@
 		if limit == 0 {
 			return
 		}
-		if j == nil || j.Final == Queued || j.cleaning || j.active > 0 {
+		if j == nil || j.Final == Queued || j.cleaning || j.active > 0 || int64(now) < j.retryAt {
 			continue
 		}
 		in := &store.Intent{Priority: store.Progress, Conds: []store.Cond{term}}
@@ -739,27 +784,11 @@
 			continue
 		}
 		j.cleaning = true
-		in.Done = func(store.Result) { j.cleaning = false }
+		in.Done = func(r store.Result) {
+			j.cleaning = false
+			j.backOff(r)
+		}
 		s.Submit(in, now+writeFor)
 		limit--
 	}
 }
-
-// MarkReady logs that a held job may start: all its upstream jobs are done.
-func (t *Table) MarkReady(j *Job, now time.Duration, s Submitter) {
-	if j.marking {
-		return
-	}
-	j.marking = true
-	ready := *j
-	ready.Ready = true
-	s.Submit(&store.Intent{Priority: store.Place,
-		Conds:  []store.Cond{{Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}},
-		Writes: []store.Write{{Key: JobKeyOf(j.ID), Data: Encode(t.Names, &ready)}},
-		Done: func(r store.Result) {
-			j.marking = false
-			if r.Outcome == store.OK {
-				t.Released(j)
-			}
-		}}, now+writeFor)
-}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -306,13 +306,31 @@
 		}
 	}
 	sort.SliceStable(jobs, func(a, b int) bool {
-		if jobs[a].Rank != jobs[b].Rank {
-			return jobs[a].Rank > jobs[b].Rank
+		if jobs[a].EffRank != jobs[b].EffRank {
+			return jobs[a].EffRank > jobs[b].EffRank
 		}
-		return standing(jobs[a]) > standing(jobs[b])
+		if x, y := standing(jobs[a]), standing(jobs[b]); x != y {
+			return x > y
+		}
+		return pressed(jobs[a], now) && !pressed(jobs[b], now)
 	})
 }
 
+const (
+	pressedTimes  = 2.0 // estimates are often wrong by half and more
+	pressedMargin = 20 * time.Second
+)
+
+// pressed tells whether a job of a chain has little more time left than it and
+// its longest path to the deadline are expected to take: it goes before others
+// of its standing.
+func pressed(j *pipeline.Job, now step.Time) bool {
+	if !j.Chained || j.EffDue == pipeline.NoDue {
+		return false
+	}
+	return j.EffDue-int64(now) < int64(pressedMargin)+int64(pressedTimes*j.Expect*1e9)
+}
+
 // standing finds the jobs that are within their team's guarantee: those that
 // fit there together with the team's unfinished jobs from before. A job must
 // use something that is guaranteed; what is not guaranteed does not count.
@@ -327,7 +345,7 @@
 		cores, cards := t.Cores > 0 && j.Cores > 0, t.Cards > 0 && j.Cards > 0
 		j.Within = (cores || cards) && (!cores || u.Cores <= t.Cores+slack) && (!cards || u.Cards <= t.Cards+slack)
 		if j.Active() > 0 {
-			p.lowest = min(p.lowest, j.Rank)
+			p.lowest = min(p.lowest, j.EffRank)
 		}
 	}
 }
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -23,7 +23,7 @@
 // returns how many tasks are left without a promise.
 func (p *Placer) preempt(j *pipeline.Job, rooms []*Room, now step.Time) (left int) {
 	left = min(j.OpenCount(), p.Quota(j))
-	if left == 0 || (j.Shape == pipeline.Gang && left < j.OpenCount()) || (j.Rank <= p.lowest && !j.Within) {
+	if left == 0 || (j.Shape == pipeline.Gang && left < j.OpenCount()) || (j.EffRank <= p.lowest && !j.Within) {
 		return left
 	}
 	price := func(r *Room, taken map[*pipeline.Entry]bool) (float64, []*pipeline.Entry, bool) {
@@ -90,7 +90,7 @@
 // outranks tells whether a job may stop a running task.
 func (p *Placer) outranks(j *pipeline.Job, e *pipeline.Entry) bool {
 	o := e.Job
-	if j.Rank > o.Rank {
+	if j.EffRank > o.EffRank {
 		return true
 	}
 	if !j.Within || j.Team == o.Team {
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -25,6 +25,9 @@
 	tickEvery = 50 * time.Millisecond
 )
 
+// dayBegin is the time of day at which every world begins.
+var dayBegin = time.Unix(1_700_000_000, 0)
+
 // World is one simulated deployment.
 type World struct {
 	now   time.Duration
@@ -236,7 +239,10 @@
 		return
 	}
 	if !n.frozen {
-		n.step(func(now step.Time) { n.core.Tick(now, &n.out) })
+		n.step(func(now step.Time) {
+			n.core.Clock(now, dayBegin.Add(n.w.now))
+			n.core.Tick(now, &n.out)
+		})
 	}
 	n.w.after(tickEvery, func() { n.tick(life) })
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math"
 	"net/url"
 	"strconv"
@@ -61,6 +62,9 @@
 type Result struct {
 	Outcome Outcome
 	Epoch   uint64 // of the transaction when OK
+	// Invalid: refused with 400. The same write will be refused again, be it
+	// for its size, so it is to be tried ever less often.
+	Invalid bool
 	Now     step.Time
 	Out     *step.Out
 }
@@ -89,7 +93,6 @@
 // Limits are the service's published limits and our part of the rates.
 type Limits struct {
 	TxnOps   int
-	Value    int
 	RPS      float64 // this node's part
 	WriteRPS float64
 	// A replica this old is refreshed without being asked.
@@ -146,7 +149,10 @@
 	barrierNext  step.Time
 	barrierEvery time.Duration
 
-	fresh   step.Time // the replica held all changes up to then
+	fresh step.Time // the replica held all changes up to then
+	// Log, if set, is told of writes that the service calls malformed.
+	Log *slog.Logger
+
 	contact step.Time // sending time of the last request that was executed
 	outage  bool      // the last answer was 503 or missing
 }
@@ -278,7 +284,7 @@
 		}
 		c.queue[p] = kept
 		for _, in := range gone {
-			in.Done(Result{Refused, 0, now, out})
+			in.Done(Result{Outcome: Refused, Now: now, Out: out})
 		}
 	}
 }
@@ -466,6 +472,7 @@
 		kept := list[:0]
 		full := false
 		for _, in := range list {
+			room := max(room, c.lend(in, ops))
 			if full || ops+in.ops() > room || (in.tries > 1 && len(batch) > 0) {
 				full = true
 				kept = append(kept, in)
@@ -476,9 +483,10 @@
 				continue
 			}
 			if in.Build != nil && !in.Build(in) {
-				in.Done(Result{Refused, 0, now, nil})
+				in.Done(Result{Outcome: Refused, Now: now})
 				continue
 			}
+			room = max(room, c.lend(in, ops))
 			bytes := 0
 			clash := false
 			for _, w := range in.Writes {
@@ -511,6 +519,15 @@
 	return batch, ops
 }
 
+// lend is the room for an intent that has more writes than our part of the rate
+// ever holds: once the part is full and nothing goes before it, it borrows.
+func (c *Client) lend(in *Intent, before int) int {
+	if n := in.ops(); before == 0 && n <= c.limits.TxnOps && n > int(c.writes.most()) && c.writes.level >= c.writes.most() {
+		return n
+	}
+	return 0
+}
+
 type wireCond struct {
 	Key   string `json:"key"`
 	Stamp uint64 `json:"stamp"`
@@ -583,7 +600,7 @@
 			}
 		}
 		for _, in := range batch {
-			in.Done(Result{OK, v.Epoch, now, out})
+			in.Done(Result{Outcome: OK, Epoch: v.Epoch, Now: now, Out: out})
 		}
 	case 409:
 		// One failing condition must not fail its neighbours for good.
@@ -598,7 +615,7 @@
 				bad = bad || failed[cond.Key]
 			}
 			if bad || len(batch) == 1 {
-				in.Done(Result{Conflict, 0, now, out})
+				in.Done(Result{Outcome: Conflict, Now: now, Out: out})
 			} else {
 				again = append(again, in)
 			}
@@ -615,10 +632,17 @@
 			c.requeue(batch)
 			return
 		}
-		batch[0].Done(Result{Refused, 0, now, out})
+		if c.Log != nil {
+			list := make([]string, 0, len(batch[0].Writes))
+			for _, w := range batch[0].Writes {
+				list = append(list, fmt.Sprintf("%s (%d bytes)", w.Key, len(w.Data)))
+			}
+			c.Log.Error("write refused as malformed", "writes", list, "answer", string(body[:min(len(body), 200)]))
+		}
+		batch[0].Done(Result{Outcome: Refused, Now: now, Out: out, Invalid: true})
 	default:
 		for _, in := range batch {
-			in.Done(Result{Unknown, 0, now, out})
+			in.Done(Result{Outcome: Unknown, Now: now, Out: out})
 		}
 	}
 }
@@ -647,7 +671,7 @@
 
 func (b *bucket) fill(now step.Time) {
 	if now > b.at {
-		b.level = math.Min(math.Max(b.rate, 1), b.level+b.rate*(now-b.at).Seconds())
+		b.level = math.Min(b.most(), b.level+b.rate*(now-b.at).Seconds())
 		b.at = now
 	}
 }
@@ -662,6 +686,9 @@
 	return int(math.Max(b.level, 0))
 }
 
+// most is what the bucket holds when it is full.
+func (b *bucket) most() float64 { return math.Max(b.rate, 1) }
+
 func (b *bucket) take(now step.Time, n float64) {
 	b.fill(now)
 	b.level -= n
