Large run records, state.next and 400s: tests, and what production writes as files

Records and frames of the version in production are taken down from a run of its code; they are read and written again the same to the byte, and its own decoders, kept in the tests, read ours or refuse them. The compact form counts attempts up, as arrays do, so that chunks laid out for twice the limit fit. Writes that are called malformed back off, the machine types' too. A part of the rate that holds fewer writes than one intent has lends the rest.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -31,6 +31,37 @@
 	}
 }
 
+// TestStateNext: the smaller of both limits count; nonsense is refused by name.
+func TestStateNext(t *testing.T) {
+	with := func(next string) (*Platform, error) {
+		return Parse([]byte(strings.Replace(good, `"txn_ops":1}`, `"txn_ops":12`+next+`}`, 1)))
+	}
+	for next, want := range map[string]StateLimits{
+		``:                                   {RPS: 1, WriteRPS: 1, ValueKB: 1, TxnOps: 12},
+		`,"next":null`:                       {RPS: 1, WriteRPS: 1, ValueKB: 1, TxnOps: 12},
+		`,"next":{}`:                         {RPS: 1, WriteRPS: 1, ValueKB: 1, TxnOps: 12},
+		`,"next":{"txn_ops":4,"rps":null}`:   {RPS: 1, WriteRPS: 1, ValueKB: 1, TxnOps: 4},
+		`,"next":{"txn_ops":20,"rps":0.5}`:   {RPS: 0.5, WriteRPS: 1, ValueKB: 1, TxnOps: 12},
+		`,"next":{"value_kb":0.5,"later":1}`: {RPS: 1, WriteRPS: 1, ValueKB: 0.5, TxnOps: 12},
+		`,"next":{"write_rps":0.25}`:         {RPS: 1, WriteRPS: 0.25, ValueKB: 1, TxnOps: 12},
+	} {
+		p, err := with(next)
+		if err != nil {
+			t.Errorf("%s: %v", next, err)
+		} else if got := p.Settings.State.Lasting(); got != want {
+			t.Errorf("%s: %+v", next, got)
+		}
+	}
+	for next, name := range map[string]string{
+		`5`: "next", `[]`: "next", `"x"`: "next", `{"rps":"x"}`: "next.rps", `{"rps":0}`: "state.next.rps", `{"write_rps":-1}`: "state.next.write_rps",
+		`{"value_kb":0}`: "state.next.value_kb", `{"value_kb":[2]}`: "next.value_kb", `{"txn_ops":0}`: "state.next.txn_ops", `{"txn_ops":2.5}`: "next.txn_ops",
+	} {
+		if _, err := with(`,"next":` + next); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", next, err)
+		}
+	}
+}
+
 func TestOperator(t *testing.T) {
 	o, err := ParseOperator("[term]\nlife = \"5s\"\n")
 	if err != nil || o.Term.Life != 5e9 || o.Place.Round != DefaultOperator().Place.Round {
--- /dev/null
+++ b/internal/pipeline/production_test.go
@@ -0,0 +1,210 @@
+package pipeline
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"lugward/internal/store"
+)
+
+// stored reads keys as the version in production has written them, one a line:
+// revision, key, value (none: dropped). They were taken down from a run of it.
+func stored(t *testing.T, file string) (list []line) {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/" + file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range strings.Split(strings.TrimRight(string(raw), "\n"), "\n") {
+		f := strings.Split(s, "\t")
+		stamp, err := strconv.ParseUint(f[0], 10, 64)
+		if err != nil || len(f) != 3 {
+			t.Fatalf("%q", s)
+		}
+		var l line
+		l.kind, l.rest = store.SplitKey(f[1])
+		if l.stamp = stamp; f[2] != "" {
+			l.data = []byte(f[2])
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
+// What the version in production stores is read, and written again the same to
+// the byte where nothing new is to be told.
+func TestProductionRecords(t *testing.T) {
+	tb := NewTable(&Names{}, 4096, 12)
+	seen := map[string]int{}
+	most := 0
+	for _, l := range stored(t, "production_store.txt") {
+		tb.Listen(l.kind, l.rest, l.data, l.stamp)
+		if l.data == nil {
+			continue
+		}
+		seen[l.kind]++
+		switch l.kind {
+		case JobKey:
+			j := tb.Job(l.rest)
+			if j == nil || !j.Ready || j.Stamp != l.stamp || j.Order != l.stamp || j.EffRank != j.Rank {
+				t.Fatalf("%s is read as %+v", l.rest, j)
+			}
+			if got := Encode(tb.Names, j); !bytes.Equal(got, l.data) {
+				t.Errorf("%s becomes %s", l.data, got)
+			}
+		case RunKey:
+			id, chunk, _ := strings.Cut(l.rest, "/")
+			j := tb.Job(id)
+			c, _ := strconv.Atoi(chunk)
+			var active []*Entry
+			for _, e := range j.Chunk[c].Entries {
+				if !e.Durable {
+					t.Errorf("%s: an entry is not stored", l.rest)
+				}
+				active = append(active, e)
+			}
+			most = max(most, len(active))
+			if got := encodeRun(tb.Names, j.Chunk[c].Try, j.Chunk[c].Done, active, false); !bytes.Equal(got, l.data) {
+				t.Errorf("%s becomes %s", l.data, got)
+			}
+		case FinalKey:
+			var r finalRecord
+			if json.Unmarshal(l.data, &r) != nil {
+				t.Fatal(string(l.data))
+			}
+			f := tb.Finals[l.rest]
+			if got := EncodeFinal(f.Phase, &Job{Spec: Spec{N: f.N}}); !bytes.Equal(got, l.data) {
+				t.Errorf("%s becomes %s", l.data, got)
+			}
+		}
+	}
+	if seen[JobKey] < 5 || seen[RunKey] < 10 || seen[FinalKey] < 4 || most < 40 {
+		t.Errorf("seen %v, at most %d entries", seen, most)
+	}
+	if len(tb.byID) != 0 {
+		t.Errorf("%d jobs are left", len(tb.byID))
+	}
+	for id, want := range map[string]Phase{"req-000001": Done, "req-000002": Done, "req-000003": Cancelled, "req-000004": Done, "req-000005": Cancelled} {
+		if tb.Finals[id].Phase != want {
+			t.Errorf("%s: %v", id, tb.Finals[id])
+		}
+	}
+}
+
+// The records as the version in production knows them.
+type (
+	oldJob struct {
+		Class   string    `json:"c"`
+		Team    string    `json:"t"`
+		Shape   Shape     `json:"s"`
+		Rank    Rank      `json:"k"`
+		N       int       `json:"n"`
+		Need    []float64 `json:"u"`
+		Bundle  string    `json:"b"`
+		ImageGB float64   `json:"g"`
+		Flavors []string  `json:"f,omitempty"`
+		Zone    string    `json:"z,omitempty"`
+		Flags   int       `json:"x,omitempty"`
+		Times   []float64 `json:"e"`
+		Owner   string    `json:"o"`
+		Up      []string  `json:"up,omitempty"`
+		Ready   bool      `json:"r,omitempty"`
+	}
+	oldFinal struct {
+		Phase string `json:"p"`
+		N     int    `json:"n"`
+	}
+)
+
+// oldRun reads a run record as that version does.
+func oldRun(data []byte, words int) (try uint64, done []uint64, active []runEntry, ok bool) {
+	var r struct {
+		Try    uint64               `json:"t"`
+		Done   string               `json:"d"`
+		Active [][3]json.RawMessage `json:"a"`
+	}
+	if json.Unmarshal(data, &r) != nil {
+		return
+	}
+	raw, err := base64.RawStdEncoding.DecodeString(r.Done)
+	if err != nil || len(raw) > words*8 {
+		return
+	}
+	done = make([]uint64, words)
+	for i, b := range raw {
+		done[i/8] |= uint64(b) << (i % 8 * 8)
+	}
+	for _, a := range r.Active {
+		var e runEntry
+		if json.Unmarshal(a[0], &e.task) != nil || json.Unmarshal(a[1], &e.try) != nil || json.Unmarshal(a[2], &e.host) != nil {
+			return
+		}
+		active = append(active, e)
+	}
+	return r.Try, done, active, true
+}
+
+// What this version stores of a job is read by the version in production as
+// all that it knows, whatever else there is.
+func TestOldReadsNewJobs(t *testing.T) {
+	n := &Names{}
+	j := &Job{ID: "req-1", Owner: "n2", Up: []string{"req-2", "req-3"}, Ready: true, Submitted: 1_700_000_000_123, ReadyAt: 1_700_000_060_456, Spec: Spec{
+		Class: n.Classes.Index("c"), Team: n.Teams.Index("t"), Bundle: n.Bundles.Index("b"), Shape: Gang, Rank: High, N: 7, Cores: 1.5, Cards: 2, RAM: 3,
+		ImageGB: 4.5, Flavors: []int{n.Flavors.Index("x"), n.Flavors.Index("y")}, Zone: n.Zones.Index("z"), SamePlace: true, Loaners: true,
+		Expect: 10, SnapEvery: 20, SnapCost: 30, Due: 40}}
+	want := oldJob{"c", "t", Gang, High, 7, []float64{1.5, 2, 3}, "b", 4.5, []string{"x", "y"}, "z", 5, []float64{10, 20, 30, 40}, "n2", []string{"req-2", "req-3"}, true}
+	for _, change := range []func(){func() {}, func() { j.Up, j.Parts, j.Attempt, j.Ready, j.ReadyAt = nil, 9, 1<<63, false, 0 }} {
+		change()
+		want.Up, want.Ready = j.Up, j.Ready
+		var got oldJob
+		data := Encode(n, j)
+		if err := json.Unmarshal(data, &got); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %+v, %v", data, got, err)
+		}
+		back := &Job{ID: "req-1"}
+		if !decode(n, data, back) || back.Submitted != j.Submitted || back.ReadyAt != j.ReadyAt || back.Parts != j.Parts || back.Attempt != j.Attempt || !reflect.DeepEqual(back.Spec, j.Spec) {
+			t.Errorf("%s: %+v", data, back)
+		}
+	}
+	for _, shape := range []Shape{Array, Daemon} {
+		for _, p := range []Phase{Done, Cancelled} {
+			var got oldFinal
+			data := EncodeFinal(p, &Job{Spec: Spec{N: 3, Shape: shape}})
+			if err := json.Unmarshal(data, &got); err != nil || got.N != 3 || got.Phase != map[Phase]string{Done: "done", Cancelled: "cancelled"}[p] {
+				t.Errorf("%s: %+v, %v", data, got, err)
+			}
+		}
+	}
+}
+
+// The version in production reads our plain run records and takes a compact
+// one for damaged: it keeps what it knew instead of taking tasks for gone.
+func TestOldReadsNewRuns(t *testing.T) {
+	n := &Names{}
+	var active []*Entry
+	for task := range 30 {
+		active = append(active, &Entry{Task: task, Host: n.Hosts.Index("i-00000" + strconv.Itoa(task/7)), Try: uint64(1 + task%2)})
+	}
+	done := []uint64{5 << 40, 0}
+	try, bits, list, ok := oldRun(encodeRun(n, 9, done, active, false), 2)
+	if !ok || try != 9 || !reflect.DeepEqual(bits, done) || len(list) != len(active) {
+		t.Errorf("%v, %d, %v, %d entries", ok, try, bits, len(list))
+	}
+	data := encodeRun(n, 9, done, active, true)
+	if _, _, _, ok = oldRun(data, 2); ok {
+		t.Error("a compact record is read as something")
+	}
+	if _, _, list, ok = decodeRun(data, 2); !ok || len(list) != len(active) {
+		t.Errorf("%v, %d entries", ok, len(list))
+	}
+	// With nothing on machines the two are the same.
+	if !bytes.Equal(encodeRun(n, 9, done, nil, true), encodeRun(n, 9, done, nil, false)) {
+		t.Error("compact without entries")
+	}
+}
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -141,82 +141,148 @@
 
 const compactBase = 36
 
-// compact writes entries as one text: what all their machines' names begin
-// with and the attempt that most of them have, then for each machine and attempt
-// the tasks, the rest of the name and the attempt if it is another. A version that does not know it takes no text for a list, so it
-// refuses the record instead of reading it as empty.
+// compact writes entries as one text: how the attempts of most follow, what all
+// their machines' names begin with, and for each machine the spans of tasks on it
+// and the rest of its name:
+//
+//	text  = rule " " prefix { " " span { "," span } ":" rest }
+//	rule  = "@" attempt             the same for all tasks
+//	      | "+" difference          of a task's attempt and its number
+//	span  = task [ "-" task ] [ "@" attempt | "+" attempt ]
+//
+// A span's own attempt is that of all its tasks (@) or of its first, counting up
+// (+). Numbers have base 36. A version that does not know this takes no text for
+// a list, so it refuses the record instead of reading it as empty.
 func compact(n *Names, active []*Entry) string {
-	type group struct {
-		host string
-		try  uint64
-	}
-	var order []group
-	count, most := map[uint64]int{}, active[0].Try
-	tasks := map[group][]int{}
+	same, counted := map[int64]int{}, map[int64]int{}
 	prefix := n.Hosts.Name(active[0].Host)
+	var order []int
+	byHost := map[int][]*Entry{}
 	for _, e := range active { // in order of tasks
-		g := group{n.Hosts.Name(e.Host), e.Try}
-		for !strings.HasPrefix(g.host, prefix) || !utf8.ValidString(prefix) {
+		for name := n.Hosts.Name(e.Host); !strings.HasPrefix(name, prefix) || !utf8.ValidString(prefix); {
 			prefix = prefix[:len(prefix)-1]
 		}
-		if count[e.Try]++; count[e.Try] > count[most] {
-			most = e.Try
+		if byHost[e.Host] == nil {
+			order = append(order, e.Host)
 		}
-		if tasks[g] == nil {
-			order = append(order, g)
+		byHost[e.Host] = append(byHost[e.Host], e)
+		same[int64(e.Try)]++
+		counted[int64(e.Try)-int64(e.Task)]++
+	}
+	rule, base := byte('@'), most(same)
+	if c := most(counted); counted[c] > same[base] {
+		rule, base = '+', c
+	}
+	follows := func(e *Entry) bool {
+		if rule == '@' {
+			return int64(e.Try) == base
 		}
-		tasks[g] = append(tasks[g], e.Task)
+		return int64(e.Try)-int64(e.Task) == base
 	}
-	text := strconv.AppendUint(append([]byte(prefix), '@'), most, compactBase)
-	for _, g := range order {
+	text := strconv.AppendInt([]byte{rule}, base, compactBase)
+	text = append(append(text, ' '), prefix...)
+	for _, host := range order {
 		sep := byte(' ')
-		for list := tasks[g]; len(list) > 0; {
-			to := 0
-			for to+1 < len(list) && list[to+1] == list[to]+1 {
-				to++
+		for list := byHost[host]; len(list) > 0; sep = ',' {
+			first, to, kind := list[0], 1, byte(0)
+			for ; to < len(list) && list[to].Task == list[to-1].Task+1; to++ {
+				k := byte(0)
+				switch {
+				case follows(first) && follows(list[to]):
+				case follows(first) || follows(list[to]):
+					k = 'x'
+				case list[to].Try == list[to-1].Try:
+					k = '@'
+				case list[to].Try == list[to-1].Try+1:
+					k = '+'
+				default:
+					k = 'x'
+				}
+				if k == 'x' || (to > 1 && k != kind) {
+					break
+				}
+				kind = k
 			}
-			text = strconv.AppendInt(append(text, sep), int64(list[0]), compactBase)
-			if to > 0 {
-				text = strconv.AppendInt(append(text, '-'), int64(list[to]), compactBase)
+			text = strconv.AppendInt(append(text, sep), int64(first.Task), compactBase)
+			if to > 1 {
+				text = strconv.AppendInt(append(text, '-'), int64(list[to-1].Task), compactBase)
 			}
-			list, sep = list[to+1:], ','
-		}
-		text = append(append(text, '@'), g.host[len(prefix):]...)
-		if g.try != most {
-			text = strconv.AppendUint(append(text, '@'), g.try, compactBase)
+			if !follows(first) {
+				if kind == 0 {
+					kind = '@'
+				}
+				text = strconv.AppendUint(append(text, kind), first.Try, compactBase)
+			}
+			list = list[to:]
 		}
+		text = append(append(text, ':'), n.Hosts.Name(host)[len(prefix):]...)
 	}
 	return string(text)
 }
 
-// mostRange bounds what a damaged record can make of a range of tasks.
-const mostRange = 1 << 10
+// most returns what counts most, of equals the least.
+func most(count map[int64]int) (best int64) {
+	n := 0
+	for v, c := range count {
+		if c > n || (c == n && v < best) {
+			best, n = v, c
+		}
+	}
+	return best
+}
+
+// mostSpan bounds what a damaged record can make of a span of tasks.
+const mostSpan = 1 << 10
 
 func expand(text string) (active []runEntry, ok bool) {
 	groups := strings.Split(text, " ")
-	prefix, most, _ := strings.Cut(groups[0], "@")
-	for _, g := range groups[1:] {
-		tasks, rest, found := strings.Cut(g, "@")
-		host, attempt, other := strings.Cut(rest, "@")
-		if !other {
-			attempt = most
-		}
-		try, err := strconv.ParseUint(attempt, compactBase, 64)
-		if !found || err != nil || prefix+host == "" {
+	if len(groups) < 2 || groups[0] == "" || strings.IndexByte("@+", groups[0][0]) < 0 {
+		return nil, false
+	}
+	base, err := strconv.ParseInt(groups[0][1:], compactBase, 64)
+	if err != nil {
+		return nil, false
+	}
+	for _, g := range groups[2:] {
+		spans, host, found := strings.Cut(g, ":")
+		if !found || groups[1]+host == "" {
 			return nil, false
 		}
-		for _, span := range strings.Split(tasks, ",") {
+		for _, span := range strings.Split(spans, ",") {
+			rule, from := groups[0][0], base
+			if i := strings.IndexAny(span, "@+"); i >= 0 {
+				own, err := strconv.ParseUint(span[i+1:], compactBase, 63)
+				if err != nil {
+					return nil, false
+				}
+				rule, from = span[i], int64(own)
+				span = span[:i]
+				if a, _, _ := strings.Cut(span, "-"); rule == '+' {
+					first, err := strconv.ParseUint(a, compactBase, 32)
+					if err != nil {
+						return nil, false
+					}
+					from -= int64(first)
+				}
+			}
 			a, b, isSpan := strings.Cut(span, "-")
 			if !isSpan {
 				b = a
 			}
-			from, err1 := strconv.ParseUint(a, compactBase, 32)
-			to, err2 := strconv.ParseUint(b, compactBase, 32)
-			if err1 != nil || err2 != nil || to < from || to-from >= mostRange {
+			first, err1 := strconv.ParseUint(a, compactBase, 32)
+			last, err2 := strconv.ParseUint(b, compactBase, 32)
+			if err1 != nil || err2 != nil || last < first || last-first >= mostSpan {
 				return nil, false
 			}
-			for task := from; task <= to; task++ {
-				active = append(active, runEntry{int(task), try, prefix + host})
+			for task := int64(first); task <= int64(last); task++ {
+				try := from
+				if rule == '+' {
+					try += task
+				}
+				if try < 0 {
+					return nil, false
+				}
+				active = append(active, runEntry{int(task), uint64(try), groups[1] + host})
 			}
 		}
 	}
--- /dev/null
+++ b/internal/place/chain_test.go
@@ -0,0 +1,133 @@
+package place
+
+import (
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"lugward/internal/fleet"
+	"lugward/internal/pipeline"
+)
+
+// site is a table with one machine of eight cores.
+type site struct {
+	*Placer
+	epoch uint64
+	now   time.Duration
+}
+
+func newSite() *site {
+	n := names(&pipeline.Names{})
+	jobs := pipeline.NewTable(n, 4096, 12)
+	f := fleet.New(n, jobs, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s := &site{Placer: &Placer{Jobs: jobs, Fleet: f, Flavors: &Flavors{{Cores: 8, RAM: 32}}, Silent: time.Minute}, now: 100 * time.Second}
+	jobs.Now = int64(s.now)
+	h := f.Host("i-1", s.now)
+	h.Flavor, h.Zone, h.Known, h.Fenced, h.Heard = 0, 0, true, true, s.now
+	return s
+}
+
+func (s *site) job(id string, set func(*pipeline.Job)) *pipeline.Job {
+	j := &pipeline.Job{ID: id, Ready: true, Spec: pipeline.Spec{N: 1, Cores: 8, RAM: 1, Zone: -1, Rank: pipeline.Normal, Expect: 10}}
+	if set != nil {
+		set(j)
+	}
+	s.epoch++
+	s.Jobs.Listen(pipeline.JobKey, id, pipeline.Encode(s.Jobs.Names, j), s.epoch)
+	return s.Jobs.Job(id)
+}
+
+func below(up string, rank pipeline.Rank, due float64) func(*pipeline.Job) {
+	return func(j *pipeline.Job) { j.Ready, j.Up, j.Rank, j.Due = false, []string{up}, rank, due }
+}
+
+func (s *site) order() string {
+	list := s.Jobs.Unfinished()
+	order(list, s.now)
+	var names []string
+	for _, j := range list {
+		names = append(names, j.ID)
+	}
+	return strings.Join(names, " ")
+}
+
+// A job goes by the priority of the last job that needs it, from when that
+// comes until it is cancelled; a held job takes part in nothing.
+func TestOrderInherits(t *testing.T) {
+	s := newSite()
+	s.job("req-1", nil)
+	s.job("req-2", func(j *pipeline.Job) { j.Rank = pipeline.Idle })
+	if got := s.order(); got != "req-1 req-2" {
+		t.Errorf("alone: %s", got)
+	}
+	s.job("req-3", below("req-2", pipeline.Idle, 0))
+	s.job("req-4", below("req-3", pipeline.High, 0))
+	if got := s.order(); got != "req-2 req-1" {
+		t.Errorf("with the last: %s", got)
+	}
+	s.epoch++
+	s.Jobs.Listen(pipeline.FinalKey, "req-4", pipeline.EncodeFinal(pipeline.Cancelled, s.Jobs.Job("req-4")), s.epoch)
+	if got := s.order(); got != "req-1 req-2" {
+		t.Errorf("without it: %s", got)
+	}
+}
+
+// What a more important job needs stops less important work, and is not
+// stopped by what ranks between the two.
+func TestPreemptInherits(t *testing.T) {
+	s := newSite()
+	other := s.job("req-1", nil)
+	s.Round(s.now)
+	if other.Active() != 1 {
+		t.Fatal("the machine is not taken")
+	}
+	s.job("req-2", func(j *pipeline.Job) { j.Rank = pipeline.Idle })
+	s.Round(s.now)
+	if e := other.Entry(0); e == nil || e.Evict {
+		t.Fatal("stopped for less important work")
+	}
+	s.job("req-3", below("req-2", pipeline.High, 0))
+	s.Round(s.now)
+	if e := other.Entry(0); e != nil && !e.Evict { // one that is not stored yet is taken back at once
+		t.Error("not stopped for what an important job needs")
+	}
+
+	s = newSite()
+	low := s.job("req-2", func(j *pipeline.Job) { j.Rank = pipeline.Idle })
+	s.job("req-3", below("req-2", pipeline.High, 0))
+	s.Round(s.now)
+	s.job("req-1", nil)
+	s.Round(s.now)
+	if e := low.Entry(0); e == nil || e.Evict {
+		t.Error("what an important job needs is stopped for a lesser one")
+	}
+}
+
+// Within equal rank and standing the order of readiness stays, except for a
+// job of a chain whose deadline is near.
+func TestOrderPressed(t *testing.T) {
+	s := newSite()
+	s.job("req-1", nil)
+	s.job("req-2", func(j *pipeline.Job) { j.Due = 1 }) // not of a chain
+	s.job("req-3", nil)
+	s.job("req-4", nil)
+	s.job("req-5", below("req-3", pipeline.Normal, 1000))
+	if got := s.order(); got != "req-1 req-2 req-3 req-4" {
+		t.Errorf("with time left: %s", got)
+	}
+	s.job("req-6", below("req-5", pipeline.Normal, 70))
+	// 70 s less twice 10 s for those that follow are left for its 10 s.
+	if got := s.order(); got != "req-1 req-2 req-3 req-4" {
+		t.Errorf("with enough left: %s", got)
+	}
+	s.now += 11 * time.Second
+	if got := s.order(); got != "req-3 req-1 req-2 req-4" {
+		t.Errorf("with little left: %s", got)
+	}
+	s.job("req-7", func(j *pipeline.Job) { j.Rank = pipeline.High })
+	if got := s.order(); got != "req-7 req-3 req-1 req-2 req-4" {
+		t.Errorf("beside a higher rank: %s", got)
+	}
+}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -278,8 +278,8 @@
 		r.store.Submit(&store.Intent{Priority: store.Accept, Conds: []store.Cond{*term},
 			Writes: []store.Write{{Key: TypesKey, Data: raw}},
 			Done: func(res store.Result) {
-				if res.Outcome == store.OK {
-					r.rawType = raw
+				if res.Outcome == store.OK || res.Invalid {
+					r.rawType = raw // refused as malformed: it would be again
 				}
 			}}, now+time.Minute)
 	})
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,145 @@
+package store
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"lugward/internal/step"
+)
+
+// bench is a client whose calls the test answers.
+type bench struct {
+	*Client
+	out step.Out
+	now step.Time
+}
+
+func newBench(limits Limits) *bench {
+	b := &bench{now: time.Second}
+	b.Client = New("s", limits, func(string, []byte, uint64) {})
+	b.Tick(b.now, &b.out)
+	b.answer(b.take("/keys")[0], 200, `{"items":[],"has_next":false,"epoch":1}`)
+	return b
+}
+
+// take returns the calls of a kind since the last time, and forgets all.
+func (b *bench) take(path string) (list []step.Call) {
+	for _, c := range b.out.Calls {
+		if strings.HasPrefix(c.Path, path) {
+			list = append(list, c)
+		}
+	}
+	b.out.Calls = nil
+	return list
+}
+
+func (b *bench) answer(c step.Call, status int, body string) {
+	b.CallDone(b.now, step.CallDone{ID: c.ID, Status: status, Body: []byte(body)}, &b.out)
+}
+
+func (b *bench) wait(d time.Duration) {
+	b.now += d
+	b.Tick(b.now, &b.out)
+}
+
+func write(keys ...string) (in *Intent, results *[]Result) {
+	results = new([]Result)
+	in = &Intent{Priority: Progress, Done: func(r Result) { *results = append(*results, r) }}
+	for _, k := range keys {
+		in.Writes = append(in.Writes, Write{Key: k, Data: []byte(`1`)})
+	}
+	return in, results
+}
+
+// A 400 is told of the one write that it is about, and is not tried again.
+func TestMalformed(t *testing.T) {
+	b := newBench(Limits{TxnOps: 4, RPS: 100, WriteRPS: 100})
+	good, goodResults := write("a")
+	bad, badResults := write("b")
+	b.Submit(good, b.now+time.Minute)
+	b.Submit(bad, b.now+time.Minute)
+	b.wait(0)
+	calls := b.take("/commit")
+	if len(calls) != 1 {
+		t.Fatalf("%d transactions", len(calls))
+	}
+	b.answer(calls[0], 400, `{}`)
+	for range 10 {
+		for _, c := range b.take("/commit") {
+			if body := string(c.Body); strings.Contains(body, `"b"`) {
+				b.answer(c, 400, `{}`)
+			} else {
+				b.answer(c, 200, `{"epoch":2}`)
+			}
+		}
+		b.wait(time.Second)
+	}
+	if len(*goodResults) != 1 || (*goodResults)[0].Outcome != OK || (*goodResults)[0].Invalid {
+		t.Errorf("its neighbour: %+v", *goodResults)
+	}
+	if len(*badResults) != 1 || (*badResults)[0].Outcome != Refused || !(*badResults)[0].Invalid {
+		t.Errorf("%+v", *badResults)
+	}
+}
+
+// Where a node's part of the rate holds fewer writes than one intent has, the
+// intent goes all the same once the part is full, and is owed afterwards.
+func TestSmallPart(t *testing.T) {
+	b := newBench(Limits{TxnOps: 4, RPS: 100, WriteRPS: 100})
+	b.SetShare(100, 0.5)
+	b.wait(0)
+	b.take("")
+	sent := 0
+	count := func() {
+		for _, c := range b.take("/commit") {
+			var v struct{ Then []any }
+			_ = json.Unmarshal(c.Body, &v)
+			if sent += len(v.Then); len(v.Then) > 4 {
+				t.Fatalf("%d changes", len(v.Then))
+			}
+			b.answer(c, 200, `{"epoch":2}`)
+		}
+	}
+	for i := range 20 {
+		in, _ := write(string(rune('a'+i))+"1", string(rune('a'+i))+"2", string(rune('a'+i))+"3")
+		b.Submit(in, b.now+time.Hour)
+	}
+	for range 600 {
+		b.wait(100 * time.Millisecond)
+		count()
+	}
+	// 0.5 a second for a minute, and what the first borrowed.
+	if sent < 27 || sent > 33 {
+		t.Errorf("%d changes in a minute", sent)
+	}
+}
+
+// No transaction goes beyond the limits on changes and conditions.
+func TestTransactionLimits(t *testing.T) {
+	b := newBench(Limits{TxnOps: 4, RPS: 100, WriteRPS: 100})
+	done := 0
+	for i := range 12 {
+		k := string(rune('a' + i))
+		in, _ := write(k)
+		for _, c := range "12345" {
+			in.Conds = append(in.Conds, Cond{Key: k + string(c), Stamp: 1})
+		}
+		in.Done = func(Result) { done++ }
+		b.Submit(in, b.now+time.Minute)
+	}
+	for range 20 {
+		b.wait(100 * time.Millisecond)
+		for _, c := range b.take("/commit") {
+			var v struct{ If, Then []any }
+			if err := json.Unmarshal(c.Body, &v); err != nil || len(v.If) > 16 || len(v.Then) > 4 {
+				t.Fatalf("%d conditions, %d changes", len(v.If), len(v.Then))
+			}
+			b.answer(c, 200, `{"epoch":2}`)
+		}
+	}
+	if done != 12 {
+		t.Errorf("%d of 12", done)
+	}
+}
