--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -302,6 +302,7 @@
 	if now-n.cleanAt >= cleanEvery {
 		n.cleanAt = now
 		n.jobs.Clean(now, n.lead.Cond(), n.store, cleanJobs)
+		n.jobs.Unfold(cleanJobs)
 		n.jobs.CutParts(now, n.lead.Cond(), n.store)
 	}
 }
@@ -350,7 +351,7 @@
 	_, writes := n.store.Demand(now)
 	n.log.Info("load", "jobs_waiting", jobs, "tasks_waiting", open, "unstored", unstored, "ordered", seen[pipeline.Unseen], "fetching", seen[pipeline.Pulling],
 		"gathering", seen[pipeline.Waiting], "running", seen[pipeline.RunningTask], "stopping", stopping, "machines", up, "idle", idle, "cards_free", free,
-		"reserved", n.placer.Reserved(), "cut_short", n.placer.CutShort, "writes", int(writes))
+		"reserved", n.placer.Reserved(), "cut_short", n.placer.CutShort, "compact", n.jobs.Compact(), "writes", int(writes))
 	n.placer.CutShort = 0
 }
 
@@ -395,11 +396,7 @@
 	ours := func(j *pipeline.Job) bool {
 		return j.Owner == n.cfg.Label || (n.leading && !n.ownerPresent(j.Owner))
 	}
-	for _, j := range n.jobs.Held() {
-		if ours(j) {
-			n.jobs.MarkReady(j, now, n.store)
-		}
-	}
+	n.jobs.MarkReady(now, n.store, ours)
 	n.jobs.MarkDoomed(now, n.store, ours)
 }
 
--- a/internal/pipeline/graph.go
+++ b/internal/pipeline/graph.go
@@ -22,12 +22,13 @@
 	needs map[string]map[*Job]bool // by upstream id: the held jobs that wait for it
 	free  map[*Job]bool            // held jobs that wait for nothing any more
 	// doomed are the jobs below a cancelled one whose own mark is not stored.
-	doomed  map[*Job]bool
-	queue   []*Job            // of these, in the order in which they get it
-	marking int               // marks of doomed jobs under way
-	stale   map[*Job]bool     // effective values are to be derived or handed on
-	parts   map[string]*parts // by job
-	cutting int               // drops of parts under way
+	doomed   map[*Job]bool
+	readying int               // ready marks under way
+	queue    []*Job            // of these, in the order in which they get it
+	marking  int               // marks of doomed jobs under way
+	stale    map[*Job]bool     // effective values are to be derived or handed on
+	parts    map[string]*parts // by job
+	cutting  int               // drops of parts under way
 }
 
 func newGraph() graph {
@@ -197,9 +198,14 @@
 	slices.SortFunc(t.graph.queue[begin:], older)
 }
 
-// Held returns the held jobs that wait for nothing any more, for their owners
-// to mark ready, in the order of their records.
-func (t *Table) Held() []*Job { return inOrder(t.graph.free) }
+// Held returns the held jobs that wait for nothing any more, the most important
+// first, in the order of their records.
+func (t *Table) Held() []*Job {
+	t.inherit()
+	list := inOrder(t.graph.free)
+	slices.SortStableFunc(list, func(a, b *Job) int { return cmp.Compare(b.EffRank, a.EffRank) })
+	return list
+}
 
 func inOrder(set map[*Job]bool) []*Job {
 	if len(set) == 0 {
@@ -307,7 +313,8 @@
 
 const (
 	mostRetryWait = int64(30 * time.Second)
-	mostMarking   = 8 // marks of doomed jobs at a time: what users ask for goes first
+	mostReadying  = 32 // ready marks at a time: placements wait behind them
+	mostMarking   = 8  // marks of doomed jobs at a time: what users ask for goes first
 	mostCutting   = 4
 	leftoverFor   = int64(time.Minute) // a list without its job is given up after this
 	// RivalFor is how long a list that another attempt began keeps others from
@@ -332,12 +339,24 @@
 	return min(mostRetryWait, int64(time.Second)<<*refused)
 }
 
-// MarkReady logs that a held job may start: all its upstream jobs are done.
-func (t *Table) MarkReady(j *Job, now time.Duration, s Submitter) {
-	if j.marking || int64(now) < j.retryAt {
+// MarkReady logs that held jobs of ours may start: all that they need is done.
+func (t *Table) MarkReady(now time.Duration, s Submitter, ours func(*Job) bool) {
+	if len(t.graph.free) == 0 || t.graph.readying >= mostReadying {
 		return
 	}
+	for _, j := range t.Held() {
+		if t.graph.readying >= mostReadying {
+			return
+		}
+		if !j.marking && int64(now) >= j.retryAt && ours(j) {
+			t.markReady(j, now, s)
+		}
+	}
+}
+
+func (t *Table) markReady(j *Job, now time.Duration, s Submitter) {
 	j.marking = true
+	t.graph.readying++
 	ready := *j
 	ready.Ready, ready.Parts, ready.Attempt, ready.ReadyAt = true, 0, 0, t.UnixMS(now)
 	s.Submit(&store.Intent{Priority: store.Place,
@@ -345,6 +364,7 @@
 		Writes: []store.Write{{Key: JobKeyOf(j.ID), Data: Encode(t.Names, &ready)}},
 		Done: func(r store.Result) {
 			j.marking = false
+			t.graph.readying--
 			j.backOff(r)
 		}}, now+writeFor)
 }
--- a/internal/pipeline/graph_test.go
+++ b/internal/pipeline/graph_test.go
@@ -162,11 +162,7 @@
 	r.final(1, Done)
 	q := &queue{}
 	now := 2 * time.Second
-	mark := func() {
-		for _, h := range r.Held() {
-			r.MarkReady(h, now, q)
-		}
-	}
+	mark := func() { r.MarkReady(now, q, func(*Job) bool { return true }) }
 	mark()
 	mark()
 	if len(q.list) != 1 {
@@ -540,3 +536,33 @@
 		t.Error("the list of a ready job is kept")
 	}
 }
+
+// Many jobs that are freed at once are marked a few at a time, the most
+// important first.
+func TestWideReady(t *testing.T) {
+	r := newRig()
+	r.job(1, nil)
+	for i := range 200 {
+		r.job(10+i, func(j *Job) { j.Rank = Idle }, 1)
+	}
+	r.job(300, func(j *Job) { j.Rank = High }, 209)
+	r.final(1, Done)
+	q := &queue{}
+	r.MarkReady(time.Second, q, func(*Job) bool { return true })
+	r.MarkReady(time.Second, q, func(*Job) bool { return true })
+	if len(q.list) != mostReadying || q.list[0].Writes[0].Key != JobKeyOf(id(209)) || q.list[1].Writes[0].Key != JobKeyOf(id(10)) {
+		t.Errorf("%d marks, first %s", len(q.list), q.list[0].Writes[0].Key)
+	}
+	marked := 0
+	for now := 2 * time.Second; len(q.list) > 0; now += time.Second {
+		for len(q.list) > 0 {
+			r.epoch++
+			carryOut(r.Table, q.next(t), r.epoch)
+			marked++
+		}
+		r.MarkReady(now, q, func(*Job) bool { return true })
+	}
+	if marked != 200 || len(r.graph.free) != 0 {
+		t.Errorf("%d marked, %d left", marked, len(r.graph.free))
+	}
+}
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -194,6 +194,7 @@
 	dirty   bool
 	placing bool // a placement is not part of any write yet, or its write failed
 	version int  // counts the wishes, to tell what a write has carried
+	small   bool // stored in the compact form
 	left    int  // placements that the last write had no room for
 	refused int  // writes in a row that the state service called malformed
 	retryAt int64
--- a/internal/pipeline/production_test.go
+++ b/internal/pipeline/production_test.go
@@ -200,7 +200,7 @@
 	if _, _, _, ok = oldRun(data, 2); ok {
 		t.Error("a compact record is read as something")
 	}
-	if _, _, list, ok = decodeRun(data, 2); !ok || len(list) != len(active) {
+	if _, _, list, _, ok = decodeRun(data, 2); !ok || len(list) != len(active) {
 		t.Errorf("%v, %d entries", ok, len(list))
 	}
 	// With nothing on machines the two are the same.
--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -295,7 +295,7 @@
 	host string
 }
 
-func decodeRun(data []byte, words int) (try uint64, done []uint64, active []runEntry, ok bool) {
+func decodeRun(data []byte, words int) (try uint64, done []uint64, active []runEntry, small, ok bool) {
 	var r struct {
 		Try    uint64          `json:"t"`
 		Done   string          `json:"d"`
@@ -318,7 +318,7 @@
 			return
 		}
 		active, ok = expand(text)
-		return r.Try, done, active, ok
+		return r.Try, done, active, true, ok
 	}
 	var list [][3]json.RawMessage
 	if len(r.Active) > 0 && json.Unmarshal(r.Active, &list) != nil {
@@ -331,7 +331,7 @@
 		}
 		active = append(active, e)
 	}
-	return r.Try, done, active, true
+	return r.Try, done, active, false, true
 }
 
 // finalRecord is a final mark's stored form.
--- a/internal/pipeline/size_test.go
+++ b/internal/pipeline/size_test.go
@@ -17,11 +17,11 @@
 	t.Helper()
 	plain := encodeRun(n, 7, nil, active, false)
 	small := encodeRun(n, 7, nil, active, true)
-	_, _, want, ok1 := decodeRun(plain, 16)
-	_, _, got, ok2 := decodeRun(small, 16)
+	_, _, want, isSmall, ok1 := decodeRun(plain, 16)
+	_, _, got, small2, ok2 := decodeRun(small, 16)
 	byTask := func(a, b runEntry) int { return a.task - b.task }
 	slices.SortFunc(got, byTask)
-	if !ok1 || !ok2 || !reflect.DeepEqual(got, want) {
+	if !ok1 || !ok2 || isSmall || !small2 || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%s\nis not\n%s", small, plain)
 	}
 	return len(small)
@@ -185,6 +185,31 @@
 	}
 }
 
+// Once the larger limit counts again what is compact is written plain, without
+// any other change.
+func TestUnfold(t *testing.T) {
+	tb, j := limited(t, Array)
+	for _, l := range tb.Labels {
+		tb.Listen(VersionKey, l, Version, 3)
+	}
+	q := &queue{}
+	place(tb, j, 128)
+	tb.Flush(0, term, q)
+	carryOut(tb, q.next(t), 4)
+	tb.Unfold(2)
+	if tb.Flush(time.Second, term, q); len(q.list) != 0 || tb.Compact() != 1 {
+		t.Errorf("%d writes, %d compact", len(q.list), tb.Compact())
+	}
+	tb.ValueLimit = 4096
+	tb.Unfold(2)
+	tb.Flush(time.Second, term, q)
+	carryOut(tb, q.next(t), 5)
+	tb.Unfold(2)
+	if tb.Flush(2*time.Second, term, q); len(q.list) != 0 || tb.Compact() != 0 || durable(j) != 128 {
+		t.Errorf("%d writes, %d compact, %d stored", len(q.list), tb.Compact(), durable(j))
+	}
+}
+
 // A gang is placed whole or not at all.
 func TestLargeGangWaits(t *testing.T) {
 	tb, j := limited(t, Gang)
@@ -266,9 +291,7 @@
 		const minutes = 10
 		for now := time.Duration(0); now < minutes*time.Minute; now += 50 * time.Millisecond {
 			if what == "ready mark" {
-				for _, j := range r.Held() {
-					r.MarkReady(j, now, q)
-				}
+				r.MarkReady(now, q, everything)
 			}
 			if what == "cancelled mark" {
 				r.MarkDoomed(now, q, everything)
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -270,7 +270,7 @@
 	var active []runEntry
 	if data != nil {
 		var ok bool
-		if try, done, active, ok = decodeRun(data, len(ch.Done)); !ok {
+		if try, done, active, ch.small, ok = decodeRun(data, len(ch.Done)); !ok {
 			return
 		}
 		ch.Try = max(ch.Try, try)
@@ -759,6 +759,48 @@
 	return len(t.Labels) > 0
 }
 
+// Compact counts the run records that are stored in the compact form.
+func (t *Table) Compact() (n int) {
+	for _, j := range t.Jobs {
+		if j == nil {
+			continue
+		}
+		for c := range j.Chunk {
+			if j.Chunk[c].small && j.Chunk[c].Stamp != 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Unfold has compact records written plain that fit so again, as they do once
+// the limit is the larger one: before the service can go back to a version that
+// does not read them. At most limit at a time.
+func (t *Table) Unfold(limit int) {
+	for _, j := range t.Jobs {
+		if j == nil || j.Final != Queued {
+			continue
+		}
+		for c := range j.Chunk {
+			ch := &j.Chunk[c]
+			if !ch.small || ch.dirty || ch.Stamp == 0 {
+				continue
+			}
+			if limit--; limit < 0 {
+				return
+			}
+			list := make([]*Entry, 0, len(ch.Entries))
+			for _, e := range ch.Entries {
+				list = append(list, e)
+			}
+			if len(encodeRun(t.Names, ch.Try, ch.Done, list, false)) <= t.ValueLimit {
+				t.touch(j, ch)
+			}
+		}
+	}
+}
+
 // Clean drops the records that finished jobs leave behind, once nothing of
 // theirs can be on a machine; at most limit jobs at a time.
 func (t *Table) Clean(now time.Duration, term store.Cond, s Submitter, limit int) {
