--- a/internal/pipeline/record.go
+++ b/internal/pipeline/record.go
@@ -5,6 +5,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"sort"
+	"strconv"
+	"strings"
+	"unicode/utf8"
 )
 
 // Keys of the state service that belong to this slice.
@@ -31,6 +34,11 @@
 	Owner   string    `json:"o"`
 	Up      []string  `json:"up,omitempty"`
 	Ready   bool      `json:"r,omitempty"`
+	// The production version before chained jobs ignores these.
+	Submitted int64  `json:"at,omitempty"` // unix ms
+	ReadyAt   int64  `json:"ra,omitempty"` // unix ms, if not at submission
+	Parts     int    `json:"un,omitempty"` // keys that hold the upstream ids
+	Attempt   uint64 `json:"us,omitempty"` // stamp of the first of them
 }
 
 const (
@@ -43,7 +51,10 @@
 func Encode(n *Names, j *Job) []byte {
 	r := jobRecord{Class: n.Classes.Name(j.Class), Team: n.Teams.Name(j.Team), Shape: j.Shape, Rank: j.Rank, N: j.N,
 		Need: []float64{j.Cores, j.Cards, j.RAM}, Bundle: n.Bundles.Name(j.Bundle), ImageGB: j.ImageGB,
-		Times: []float64{j.Expect, j.SnapEvery, j.SnapCost, j.Due}, Owner: j.Owner, Up: j.Up, Ready: j.Ready}
+		Times: []float64{j.Expect, j.SnapEvery, j.SnapCost, j.Due}, Owner: j.Owner, Up: j.Up, Ready: j.Ready, Submitted: j.Submitted, Parts: j.Parts, Attempt: j.Attempt}
+	if j.Ready && j.ReadyAt != j.Submitted {
+		r.ReadyAt = j.ReadyAt
+	}
 	for _, f := range j.Flavors {
 		r.Flavors = append(r.Flavors, n.Flavors.Name(f))
 	}
@@ -77,18 +88,23 @@
 	if r.Zone != "" {
 		j.Zone = n.Zones.Index(r.Zone)
 	}
-	j.Owner, j.Up, j.Ready = r.Owner, r.Up, r.Ready
+	j.Owner, j.Up, j.Parts, j.Attempt, j.Ready = r.Owner, r.Up, r.Parts, r.Attempt, r.Ready
+	j.Submitted, j.ReadyAt = r.Submitted, r.ReadyAt
+	if r.Ready && r.ReadyAt == 0 {
+		j.ReadyAt = r.Submitted
+	}
 	return true
 }
 
-// runRecord is a chunk's stored form. An active task is [task, try, host].
+// runRecord is a chunk's stored form. An active task is [task, try, host] in a
+// list, or part of a text (compact) that holds many in less room.
 type runRecord struct {
-	Try    uint64   `json:"t"`
-	Done   string   `json:"d,omitempty"` // little-endian bitmap, base64, zero tail cut
-	Active [][3]any `json:"a,omitempty"`
+	Try    uint64 `json:"t"`
+	Done   string `json:"d,omitempty"` // little-endian bitmap, base64, zero tail cut
+	Active any    `json:"a,omitempty"`
 }
 
-func encodeRun(n *Names, try uint64, done []uint64, active []*Entry) []byte {
+func encodeRun(n *Names, try uint64, done []uint64, active []*Entry, small bool) []byte {
 	r := runRecord{Try: try}
 	last := len(done)
 	for last > 0 && done[last-1] == 0 {
@@ -105,8 +121,16 @@
 		r.Done = base64.RawStdEncoding.EncodeToString(raw)
 	}
 	sort.Slice(active, func(a, b int) bool { return active[a].Task < active[b].Task })
-	for _, e := range active {
-		r.Active = append(r.Active, [3]any{e.Task, e.Try, n.Hosts.Name(e.Host)})
+	switch {
+	case len(active) == 0:
+	case small:
+		r.Active = compact(n, active)
+	default:
+		list := make([][3]any, len(active))
+		for i, e := range active {
+			list[i] = [3]any{e.Task, e.Try, n.Hosts.Name(e.Host)}
+		}
+		r.Active = list
 	}
 	b, err := json.Marshal(r)
 	if err != nil {
@@ -115,17 +139,167 @@
 	return b
 }
 
+const compactBase = 36
+
+// compact writes entries as one text: how the attempts of most follow, what all
+// their machines' names begin with, and for each machine the spans of tasks on it
+// and the rest of its name:
+//
+//	text  = rule " " prefix { " " span { "," span } ":" rest }
+//	rule  = "@" attempt             the same for all tasks
+//	      | "+" difference          of a task's attempt and its number
+//	span  = task [ "-" task ] [ "@" attempt | "+" attempt ]
+//
+// A span's own attempt is that of all its tasks (@) or of its first, counting up
+// (+). Numbers have base 36. A version that does not know this takes no text for
+// a list, so it refuses the record instead of reading it as empty.
+func compact(n *Names, active []*Entry) string {
+	same, counted := map[int64]int{}, map[int64]int{}
+	prefix := n.Hosts.Name(active[0].Host)
+	var order []int
+	byHost := map[int][]*Entry{}
+	for _, e := range active { // in order of tasks
+		for name := n.Hosts.Name(e.Host); !strings.HasPrefix(name, prefix) || !utf8.ValidString(prefix); {
+			prefix = prefix[:len(prefix)-1]
+		}
+		if byHost[e.Host] == nil {
+			order = append(order, e.Host)
+		}
+		byHost[e.Host] = append(byHost[e.Host], e)
+		same[int64(e.Try)]++
+		counted[int64(e.Try)-int64(e.Task)]++
+	}
+	rule, base := byte('@'), most(same)
+	if c := most(counted); counted[c] > same[base] {
+		rule, base = '+', c
+	}
+	follows := func(e *Entry) bool {
+		if rule == '@' {
+			return int64(e.Try) == base
+		}
+		return int64(e.Try)-int64(e.Task) == base
+	}
+	text := strconv.AppendInt([]byte{rule}, base, compactBase)
+	text = append(append(text, ' '), prefix...)
+	for _, host := range order {
+		sep := byte(' ')
+		for list := byHost[host]; len(list) > 0; sep = ',' {
+			first, to, kind := list[0], 1, byte(0)
+			for ; to < len(list) && list[to].Task == list[to-1].Task+1; to++ {
+				k := byte(0)
+				switch {
+				case follows(first) && follows(list[to]):
+				case follows(first) || follows(list[to]):
+					k = 'x'
+				case list[to].Try == list[to-1].Try:
+					k = '@'
+				case list[to].Try == list[to-1].Try+1:
+					k = '+'
+				default:
+					k = 'x'
+				}
+				if k == 'x' || (to > 1 && k != kind) {
+					break
+				}
+				kind = k
+			}
+			text = strconv.AppendInt(append(text, sep), int64(first.Task), compactBase)
+			if to > 1 {
+				text = strconv.AppendInt(append(text, '-'), int64(list[to-1].Task), compactBase)
+			}
+			if !follows(first) {
+				if kind == 0 {
+					kind = '@'
+				}
+				text = strconv.AppendUint(append(text, kind), first.Try, compactBase)
+			}
+			list = list[to:]
+		}
+		text = append(append(text, ':'), n.Hosts.Name(host)[len(prefix):]...)
+	}
+	return string(text)
+}
+
+// most returns what counts most, of equals the least.
+func most(count map[int64]int) (best int64) {
+	n := 0
+	for v, c := range count {
+		if c > n || (c == n && v < best) {
+			best, n = v, c
+		}
+	}
+	return best
+}
+
+// mostSpan bounds what a damaged record can make of a span of tasks.
+const mostSpan = 1 << 10
+
+func expand(text string) (active []runEntry, ok bool) {
+	groups := strings.Split(text, " ")
+	if len(groups) < 2 || groups[0] == "" || strings.IndexByte("@+", groups[0][0]) < 0 {
+		return nil, false
+	}
+	base, err := strconv.ParseInt(groups[0][1:], compactBase, 64)
+	if err != nil {
+		return nil, false
+	}
+	for _, g := range groups[2:] {
+		spans, host, found := strings.Cut(g, ":")
+		if !found || groups[1]+host == "" {
+			return nil, false
+		}
+		for _, span := range strings.Split(spans, ",") {
+			rule, from := groups[0][0], base
+			if i := strings.IndexAny(span, "@+"); i >= 0 {
+				own, err := strconv.ParseUint(span[i+1:], compactBase, 63)
+				if err != nil {
+					return nil, false
+				}
+				rule, from = span[i], int64(own)
+				span = span[:i]
+				if a, _, _ := strings.Cut(span, "-"); rule == '+' {
+					first, err := strconv.ParseUint(a, compactBase, 32)
+					if err != nil {
+						return nil, false
+					}
+					from -= int64(first)
+				}
+			}
+			a, b, isSpan := strings.Cut(span, "-")
+			if !isSpan {
+				b = a
+			}
+			first, err1 := strconv.ParseUint(a, compactBase, 32)
+			last, err2 := strconv.ParseUint(b, compactBase, 32)
+			if err1 != nil || err2 != nil || last < first || last-first >= mostSpan {
+				return nil, false
+			}
+			for task := int64(first); task <= int64(last); task++ {
+				try := from
+				if rule == '+' {
+					try += task
+				}
+				if try < 0 {
+					return nil, false
+				}
+				active = append(active, runEntry{int(task), uint64(try), groups[1] + host})
+			}
+		}
+	}
+	return active, true
+}
+
 type runEntry struct {
 	task int
 	try  uint64
 	host string
 }
 
-func decodeRun(data []byte, words int) (try uint64, done []uint64, active []runEntry, ok bool) {
+func decodeRun(data []byte, words int) (try uint64, done []uint64, active []runEntry, small, ok bool) {
 	var r struct {
-		Try    uint64               `json:"t"`
-		Done   string               `json:"d"`
-		Active [][3]json.RawMessage `json:"a"`
+		Try    uint64          `json:"t"`
+		Done   string          `json:"d"`
+		Active json.RawMessage `json:"a"`
 	}
 	if json.Unmarshal(data, &r) != nil {
 		return
@@ -138,20 +312,33 @@
 	for i, b := range raw {
 		done[i/8] |= uint64(b) << (i % 8 * 8)
 	}
-	for _, a := range r.Active {
+	if len(r.Active) > 0 && r.Active[0] == '"' {
+		var text string
+		if json.Unmarshal(r.Active, &text) != nil {
+			return
+		}
+		active, ok = expand(text)
+		return r.Try, done, active, true, ok
+	}
+	var list [][3]json.RawMessage
+	if len(r.Active) > 0 && json.Unmarshal(r.Active, &list) != nil {
+		return
+	}
+	for _, a := range list {
 		var e runEntry
 		if json.Unmarshal(a[0], &e.task) != nil || json.Unmarshal(a[1], &e.try) != nil || json.Unmarshal(a[2], &e.host) != nil {
 			return
 		}
 		active = append(active, e)
 	}
-	return r.Try, done, active, true
+	return r.Try, done, active, false, true
 }
 
 // finalRecord is a final mark's stored form.
 type finalRecord struct {
-	Phase string `json:"p"`
-	N     int    `json:"n"`
+	Phase  string `json:"p"`
+	N      int    `json:"n"`
+	Daemon bool   `json:"s,omitempty"` // it was a service, which no job may await
 }
 
 const (
@@ -160,8 +347,8 @@
 )
 
 // EncodeFinal returns the stored form of a final mark.
-func EncodeFinal(p Phase, n int) []byte {
-	r := finalRecord{Phase: markDone, N: n}
+func EncodeFinal(p Phase, j *Job) []byte {
+	r := finalRecord{Phase: markDone, N: j.N, Daemon: j.Shape == Daemon}
 	if p == Cancelled {
 		r.Phase = markCancelled
 	}
