--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -112,7 +112,7 @@
 		case pipeline.MarkDone:
 			tb.MarkDone(e.Job, 0)
 		}
-		tb.Listen(pipeline.FinalKey, "req-1", pipeline.EncodeFinal(pipeline.Cancelled, 1), 3)
+		tb.Listen(pipeline.FinalKey, "req-1", pipeline.EncodeFinal(pipeline.Cancelled, j), 3)
 		f := New(n, tb, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		rep := &Report{Host: "i-1", Addr: "10.1.0.1:9000", Flavor: "f", Yard: "a", Tenure: 1, Tick: 9, Fence: 5,
 			Shards: []Shard{{Shard: "req-1/0", Try: 3, Phase: "running"}}}
