--- a/cmd/limits/main.go
+++ b/cmd/limits/main.go
@@ -24,6 +24,7 @@
 type spread struct {
 	Median  float64   `toml:"median"`
 	P95     float64   `toml:"p95"`
+	Max     float64   `toml:"max"`
 	Sizes   []float64 `toml:"sizes"`
 	Weights []float64 `toml:"weights"`
 }
@@ -83,7 +84,8 @@
 			GB spread `toml:"gb"`
 		} `toml:"images"`
 	} `toml:"jobs"`
-	Targets []struct {
+	Pipelines []pipeline `toml:"pipelines"`
+	Targets   []struct {
 		Kind   string  `toml:"kind"`
 		Class  string  `toml:"class"`
 		Within float64 `toml:"within_s"`
@@ -138,6 +140,10 @@
 func (s *site) bounds(weight float64) (float64, string, error) {
 	var w strings.Builder
 	horizon := s.Warmup + s.Duration
+	chained, err := s.chained(horizon)
+	if err != nil {
+		return 0, "", err
+	}
 	cost, lowest, booted, work := 0.0, 0.0, 0.0, 0.0
 	for j := range s.Jobs {
 		job := &s.Jobs[j]
@@ -145,7 +151,7 @@
 		if len(opts) == 0 {
 			return 0, "", fmt.Errorf("class %s fits no type", job.Name)
 		}
-		jobs := job.Initial + job.Arrivals.Rate*horizon
+		jobs := job.Initial + job.Arrivals.Rate*horizon + chained[job.Name]
 		load := jobs * job.Tasks.mean() * job.Run.mean() / horizon // tasks running, on average
 		work += load * job.CPUs * horizon
 		c, left, rented, cheapest := 0.0, load, 0.0, math.Inf(1)
@@ -174,12 +180,19 @@
 				soonest = math.Min(soonest, 0.6*o.boot+job.Images.GB.Median/o.fetch)
 			}
 			late := 0.0
-			if soonest > t.Within {
+			if soonest > t.Within && jobs > 0 {
 				late = math.Max(0, job.Initial-up/job.Tasks.mean())
 			}
 			fmt.Fprintf(&w, "  wait %.0f s: at most %.3f of %.0f jobs (quickest machine after %.0f s, %.0f tasks find one up)\n",
-				t.Within, 1-late/jobs, jobs, soonest, up)
+				t.Within, 1-late/math.Max(1, jobs), jobs, soonest, up)
+		}
+	}
+	for i := range s.Pipelines {
+		text, err := s.chain(&s.Pipelines[i])
+		if err != nil {
+			return 0, "", err
 		}
+		fmt.Fprintln(&w, text)
 	}
 	for _, t := range s.Targets {
 		if t.Kind != "makespan" {
