--- /dev/null
+++ b/internal/simtest/upgrade.go
@@ -0,0 +1,206 @@
+package simtest
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// recording is what a version left behind when all its controllers ended: what
+// the state service holds and what is on the machines. The files under
+// testdata/production were taken down by a run of the version in production
+// (TestRecord), so that a change of version is played without its code.
+type recording struct {
+	Note     string            `json:"note"`
+	Epoch    uint64            `json:"epoch"`
+	Keys     []recordedKey     `json:"keys"`
+	Leases   map[uint64]int64  `json:"leases"` // life in milliseconds
+	Jobs     []recordedJob     `json:"jobs"`
+	Machines []recordedMachine `json:"machines"`
+	Hires    map[string][]string
+}
+
+type recordedKey struct {
+	Key    string          `json:"key"`
+	Data   json.RawMessage `json:"data"`
+	Stamp  uint64          `json:"stamp"`
+	Tether uint64          `json:"tether,omitempty"`
+}
+
+type recordedJob struct {
+	Args      Args                  `json:"args"`
+	Told      string                `json:"told"`
+	Cancelled bool                  `json:"cancelled,omitempty"`
+	Complete  []int                 `json:"complete,omitempty"`
+	Progress  map[int]time.Duration `json:"progress,omitempty"`
+}
+
+type recordedMachine struct {
+	Name, Addr, Flavor, Zone string
+	Spot, Up                 bool
+	Tenure, Tick, Fence      uint64
+	Answered                 time.Duration // since the last report that was answered
+	Tasks                    []recordedTask
+}
+
+type recordedTask struct {
+	Shard  string        `json:"shard"`
+	Index  int           `json:"index"`
+	Try    uint64        `json:"try"`
+	Phase  string        `json:"phase"`
+	Cause  string        `json:"cause,omitempty"`
+	Stored bool          `json:"stored,omitempty"`
+	Ran    time.Duration `json:"ran,omitempty"`
+}
+
+// Record takes down what there is. jobs are the arguments of the submissions.
+func (w *World) Record(note string, jobs []Args) ([]byte, error) {
+	r := recording{Note: note, Epoch: w.state.epoch, Leases: map[uint64]int64{}, Hires: w.cloud.hires}
+	for k, v := range w.state.keys {
+		r.Keys = append(r.Keys, recordedKey{k, v.data, v.stamp, v.tether})
+	}
+	sort.Slice(r.Keys, func(a, b int) bool { return r.Keys[a].Key < r.Keys[b].Key })
+	for id, l := range w.state.leases {
+		r.Leases[id] = l.life.Milliseconds()
+	}
+	for _, a := range jobs {
+		j := w.jobs[a["id"]]
+		o := recordedJob{Args: a, Told: w.check.told[j.id], Cancelled: w.check.asked[j.id], Progress: j.progress}
+		for i := range j.complete {
+			o.Complete = append(o.Complete, i)
+		}
+		slices.Sort(o.Complete)
+		r.Jobs = append(r.Jobs, o)
+	}
+	for _, k := range w.Workers() {
+		m := recordedMachine{Name: k.name, Addr: k.addr, Flavor: k.flavor, Zone: k.zone, Spot: k.spot, Up: k.up, Tenure: k.tenure, Tick: k.tick,
+			Fence: k.fence, Answered: w.now - k.leaseFrom}
+		for _, t := range k.sorted() {
+			o := recordedTask{Shard: t.shard, Index: t.index, Try: t.try, Phase: t.phase, Cause: t.cause, Stored: t.stored}
+			if t.phase == "running" {
+				o.Ran = w.now - t.begun
+			}
+			m.Tasks = append(m.Tasks, o)
+		}
+		r.Machines = append(r.Machines, m)
+	}
+	return json.MarshalIndent(r, "", " ")
+}
+
+// Load makes a world that has just begun go on from a recording. Its
+// controllers are those of the newer version and begin anew.
+func (w *World) Load(file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var r recording
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return err
+	}
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	w.state.epoch, w.state.oldest, w.state.log = r.Epoch, r.Epoch, nil
+	w.state.leases = map[uint64]*stateLease{}
+	for id, ms := range r.Leases {
+		life := time.Duration(ms) * time.Millisecond
+		w.state.leases[id] = &stateLease{life, w.now + life}
+		w.state.last = max(w.state.last, id)
+	}
+	w.state.keys = map[string]stateKey{}
+	for _, k := range r.Keys {
+		w.state.keys[k.Key] = stateKey{data: k.Data, stamp: k.Stamp, tether: k.Tether}
+	}
+	for _, o := range r.Jobs {
+		w.Body(o.Args)
+		j := w.jobs[o.Args["id"]]
+		j.submitted, j.asked, j.began = true, 1, 1
+		for _, i := range o.Complete {
+			j.complete[i] = true
+		}
+		for i, p := range o.Progress {
+			j.progress[i] = p
+		}
+		w.check.told[j.id] = o.Told
+		if o.Cancelled {
+			w.check.asked[j.id], w.check.cancelAt[j.id] = true, w.now
+		}
+	}
+	w.cloud.hires = r.Hires
+	w.cloud.hosts = map[string]*rented{}
+	for i, m := range r.Machines {
+		h := &rented{name: m.Name, addr: m.Addr, flavor: m.Flavor, zone: m.Zone, spot: m.Spot, since: w.now - time.Minute}
+		w.cloud.last = max(w.cloud.last, i+1)
+		k := newWorker(w, m.Name, m.Addr, m.Flavor, m.Zone, m.Spot)
+		h.worker = k
+		if !m.Up {
+			k.die()
+			continue
+		}
+		w.cloud.hosts[m.Name] = h
+		k.tenure, k.tick, k.fence, k.leaseFrom = m.Tenure, m.Tick, m.Fence, w.now-m.Answered
+		for _, o := range m.Tasks {
+			k.resume(o)
+		}
+	}
+	for _, n := range w.nodes {
+		n.boot()
+	}
+	return nil
+}
+
+// resume puts a task where it was recorded.
+func (k *worker) resume(o recordedTask) {
+	w := k.w
+	j := w.jobs[o.Shard[:strings.LastIndexByte(o.Shard, '/')]]
+	t := &task{on: k, job: j, shard: o.Shard, index: o.Index, try: o.Try, phase: o.Phase, cause: o.Cause, stored: o.Stored, begun: w.now - o.Ran}
+	switch {
+	case o.Phase == "exited":
+		k.tasks[o.Shard] = t
+	case o.Phase != "running" || j.shape == "gang" && len(j.complete) > 0:
+		// Its image is fetched anew: the machine had it or nearly so.
+		k.start(order{Verb: "start", Shard: o.Shard, Try: o.Try})
+	case j.shape == "gang":
+		k.tasks[o.Shard] = t
+		k.images[j.id] = true
+		g := j.gangs[t.try]
+		if g == nil {
+			g = &gang{tasks: map[int]*task{}, stopped: map[int]bool{}}
+			j.gangs[t.try] = g
+		}
+		g.tasks[t.index] = t
+		if len(g.tasks) == j.n {
+			g.started = true
+			w.after(j.run-j.progress[0]-o.Ran, func() { g.complete(j) })
+		}
+	default:
+		k.tasks[o.Shard] = t
+		k.images[j.id] = true
+		if j.shape == "array" {
+			w.later(t, j.run-j.progress[t.index]-o.Ran, func() {
+				j.complete[t.index] = true
+				k.exit(t, "done", false)
+			})
+		}
+	}
+}
+
+// complete ends a gang that ran to its end.
+func (g *gang) complete(j *job) {
+	if g.over || g.stopAt != 0 {
+		return
+	}
+	g.over = true
+	for i := range j.n {
+		j.complete[i] = true
+	}
+	for i := range j.n {
+		if m := g.tasks[i]; m != nil && m.phase == "running" {
+			m.on.exit(m, "done", false)
+		}
+	}
+}
--- a/internal/simtest/worker.go
+++ b/internal/simtest/worker.go
@@ -69,6 +69,7 @@
 	complete      map[int]bool
 	gangs         map[uint64]*gang
 	submitted     bool
+	awaits        []string // jobs that must be done before any task of it starts
 }
 
 func (j *job) begin(now time.Duration) {
@@ -381,20 +382,7 @@
 			m.on.changed = true
 			m.gen++
 		}
-		k.w.after(j.run-j.progress[0], func() {
-			if g.over || g.stopAt != 0 {
-				return
-			}
-			g.over = true
-			for i := range j.n {
-				j.complete[i] = true
-			}
-			for i := range j.n {
-				if m := g.tasks[i]; m != nil && m.phase == "running" {
-					m.on.exit(m, "done", false)
-				}
-			}
-		})
+		k.w.after(j.run-j.progress[0], func() { g.complete(j) })
 		return
 	}
 	k.w.later(t, seconds(k.w.cfg.Settings.Workers.GangWaitS), func() { k.exit(t, "incomplete", false) })
