--- /dev/null
+++ b/internal/simtest/upgrade_test.go
@@ -0,0 +1,127 @@
+package simtest
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lugward/internal/config"
+)
+
+// midway is a deployment with a bit of everything, stopped in the middle: jobs
+// done and cancelled, arrays of several records partly done, gangs, services, a
+// job that waits for its team's limit, a cancelled one whose tasks still run, a
+// machine that is gone. It ends with all controllers ended.
+func midway(t *testing.T, seed uint64) (*World, []Args) {
+	w := New(3, seed, logOut())
+	w.watchRules()
+	w.cloud.add("big", "a", false, 0)
+	w.cloud.add("big", "b", false, 0)
+	var jobs []Args
+	submit := func(text string) {
+		a := Args{"id": fmt.Sprintf("req-%06d", 900+len(jobs))}
+		for _, f := range strings.Fields(text) {
+			k, v, _ := strings.Cut(f, "=")
+			a[k] = v
+		}
+		jobs = append(jobs, maps.Clone(a))
+		if status, phase := w.Submit(a); status != 201 && status != 200 {
+			t.Fatalf("%v: %d %s", a, status, phase)
+		}
+	}
+	submit("shards=2 run=2s")
+	submit("shards=300 cores=0.05 ram=0.1 run=90s loaners")
+	submit("shards=150 cores=0.05 ram=0.1 run=9s")
+	submit("shape=gang shards=3 run=60s snap=5s same")
+	submit("shape=daemon shards=2 team=blue")
+	submit("shards=8 cards=1 run=70s flavors=card")
+	submit("shards=2 cards=1 run=5s flavors=card") // beyond the team's limit
+	submit("shards=2 run=80s team=blue")
+	submit("shape=gang shards=2 run=1s yard=b scatter rank=high")
+	submit("shards=3 run=50s rank=idle snap=4s")
+	w.Run(24 * time.Second)
+	w.Poll("req-000900")
+	w.Poll("req-000908")
+	if on := w.hostOf("req-000909/1"); on != nil {
+		on.die()
+	}
+	w.Run(time.Second)
+	w.Cancel("req-000907")
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	w.Run(300 * time.Millisecond)
+	return w, jobs
+}
+
+// goesOn plays a loaded world to its end.
+func goesOn(t *testing.T, file string) {
+	w := NewWith(Announce(Settings, Args{"nextvalue": "2", "nextops": "4", "nextwrites": "40"}), 3, 7, logOut(), func(*config.Platform) {})
+	w.watchRules()
+	if err := w.Load(file); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range w.accepted() {
+		told := w.check.told[id]
+		status, phase := w.user(id, "GET", "/submissions/"+id, nil)
+		if status != 200 || (told == "done" && phase != told) {
+			t.Errorf("%s was %s, is %d %s", id, told, status, phase)
+		}
+	}
+	// New jobs need old ones: one done long ago and one that still runs, and
+	// one that was cancelled.
+	for _, a := range []Args{{"id": "req-000950", "awaits": "req-000900+req-000901", "run": "2s"}, {"id": "req-000951", "awaits": "req-000907"}} {
+		if status, _ := w.Submit(a); status != 200 && status != 201 {
+			t.Errorf("%v: %d", a, status)
+		}
+	}
+	w.Run(20 * time.Second)
+	if _, phase := w.user("req-000951", "GET", "/submissions/req-000951", nil); phase != "cancelled" {
+		t.Errorf("needs a cancelled job and is %s", phase)
+	}
+	w.state.lower(Args{"value": "2", "ops": "4", "writes": "40"})
+	w.Cancel("req-000904") // a service
+	if got := w.Do("all", Args{"within": "240s"}, ""); got != fmt.Sprintf("%d done", len(w.accepted())) {
+		t.Errorf("%s of %d", got, len(w.accepted()))
+	}
+	if v := w.Verdict(); v != "kept" {
+		t.Error(v)
+	}
+}
+
+// TestRecord takes a world down and lets another go on with it. With
+// SIM_RECORD it writes the files below testdata/production; they were written
+// by the version named in them and stay as they are.
+func TestRecord(t *testing.T) {
+	w, jobs := midway(t, 41)
+	b, err := w.Record("midway, all controllers ended; "+os.Getenv("SIM_RECORD"), jobs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "midway.json")
+	if os.Getenv("SIM_RECORD") != "" {
+		file = "testdata/production/midway.json"
+	}
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if v := w.Verdict(); v != "kept" {
+		t.Error(v)
+	}
+	goesOn(t, file)
+}
+
+// TestProduction goes on with what the version in production left behind.
+func TestProduction(t *testing.T) {
+	files, _ := filepath.Glob("testdata/production/*.json")
+	if len(files) == 0 {
+		t.Fatal("no recordings")
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) { goesOn(t, f) })
+	}
+}
