--- /dev/null
+++ b/internal/simtest/chains_test.go
@@ -0,0 +1,154 @@
+package simtest
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestRandomChains plays random pipelines under random faults, while the state
+// service lowers its limits: the rules must hold, every job must end, as those
+// that it needs do, and nothing but final marks may be left behind.
+func TestRandomChains(t *testing.T) {
+	const plays = 60
+	for seed := uint64(1); seed <= plays; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playChains(t, seed)
+		})
+	}
+}
+
+func playChains(t failer, seed uint64) {
+	next := Args{}
+	if seed%3 != 0 {
+		next = Args{"nextvalue": "2", "nextops": "4", "nextwrites": "20"}
+	}
+	w := NewWith(Announce(Settings, next), 3, seed, logOut())
+	w.watchRules()
+	w.loss, w.late = 0.01, 0.05
+	w.copies, w.copyLate = 0.05, 30*time.Second
+	for range 3 {
+		w.cloud.add("small", []string{"a", "b"}[w.rng.IntN(2)], false, 0)
+	}
+	w.old(Args{"from": "5000", "count": "400"})
+	pipelines(t, w, seed, len(next) > 0, nil)
+}
+
+// pipelines goes on with jobs that were accepted, and with new ones.
+func pipelines(t failer, w *World, seed uint64, announced bool, open []string) {
+	all := append([]string(nil), open...) // those too whose answer nobody waited for
+	lowered := false
+	lower := func() {
+		if announced && !lowered {
+			lowered = true
+			w.state.lower(Args{"value": "2", "ops": "4", "writes": "20"})
+		}
+	}
+	kinds := []string{"array", "array", "gang"}
+	for i := range 12 {
+		a := Args{"id": fmt.Sprintf("req-%06d", i), "shape": kinds[w.rng.IntN(len(kinds))], "shards": fmt.Sprint(1 + w.rng.IntN(4)),
+			"run": fmt.Sprintf("%ds", 1+w.rng.IntN(10)), "team": []string{"red", "blue"}[w.rng.IntN(2)],
+			"rank": []string{"idle", "normal", "high", "production"}[w.rng.IntN(4)]}
+		if w.rng.IntN(2) == 0 {
+			a["loaners"] = ""
+		}
+		if w.rng.IntN(12) == 0 {
+			a["shards"], a["cores"], a["ram"] = "200", "0.02", "0.02"
+		}
+		var awaits []string
+		if len(open) > 0 && w.rng.IntN(5) != 0 {
+			for range 1 + w.rng.IntN(3) {
+				awaits = append(awaits, open[len(open)-1-w.rng.IntN(min(len(open), 5))])
+			}
+			if w.rng.IntN(6) == 0 {
+				awaits = append(awaits, "req-005000*400") // several values and transactions
+			}
+			a["awaits"] = strings.Join(awaits, "+")
+		}
+		switch {
+		case len(awaits) > 0 && w.rng.IntN(4) == 0:
+			// A submission that meets a cancellation of what it needs.
+			one := awaits[0]
+			w.after(seconds(w.rng.Float64()/2), func() { w.cancelOn(one) })
+			w.after(seconds(w.rng.Float64()/2), func() { w.submitOn(a) })
+			all = append(all, a["id"])
+		default:
+			switch status, _ := w.Submit(a); status {
+			case 200, 201:
+				open = append(open, a["id"])
+			case 503, 429, 0:
+			default:
+				t.Errorf("seed %d: %s gets %d", seed, a["id"], status)
+			}
+			all = append(all, a["id"])
+		}
+		w.misfortune()
+		if w.rng.IntN(8) == 0 {
+			// The limits fall in an outage.
+			w.state.outage(true)
+			lower()
+			w.after(seconds(1+w.rng.Float64()*10), func() { w.state.outage(false) })
+		} else if w.rng.IntN(10) == 0 {
+			lower()
+		}
+		if w.rng.IntN(4) == 0 {
+			w.state.lagKey, w.state.lagFor, w.state.lagged = []string{"f/", "j/", "u/"}[w.rng.IntN(3)], seconds(2+w.rng.Float64()*10), 1+w.rng.IntN(2)
+		}
+		w.Run(seconds(w.rng.Float64() * 5))
+		if w.rng.IntN(2) == 0 && len(open) > 0 {
+			w.Poll(open[w.rng.IntN(len(open))])
+		}
+		if w.rng.IntN(7) == 0 && len(open) > 0 {
+			w.Cancel(open[w.rng.IntN(len(open))])
+		}
+	}
+	lower()
+	w.calm()
+	w.settled(2 * userRetry)
+	w.state.lagged = 0
+	for _, id := range all {
+		if w.check.told[id] == "" {
+			w.Poll(id) // its user gave up; it may be accepted all the same
+		}
+	}
+	left := func() (ids []string) {
+		for _, id := range all {
+			if told := w.check.told[id]; told != "" && told != "done" && told != "cancelled" {
+				ids = append(ids, id)
+			}
+		}
+		return ids
+	}
+	for range 150 {
+		ids := left()
+		if len(ids) == 0 {
+			break
+		}
+		for _, id := range ids {
+			w.Poll(id)
+		}
+		w.Run(seconds(2))
+	}
+	for _, id := range left() {
+		t.Errorf("seed %d: %s is still %s, needs %v\n%s", seed, id, w.check.told[id], w.jobs[id].awaits,
+			strings.Join(append(w.Keys("j/"+id), w.Keys("r/"+id)...), "\n"))
+	}
+	for _, id := range all {
+		for _, up := range w.jobs[id].awaits {
+			if told, above := w.check.told[id], w.check.told[up]; told == "done" && above != "done" || above == "cancelled" && told != "" && told != "cancelled" {
+				t.Errorf("seed %d: %s is %s, needs %s, which is %s", seed, id, told, up, above)
+			}
+		}
+	}
+	w.Run(150 * time.Second)
+	for _, prefix := range []string{"j/", "r/", "u/"} {
+		if keys := w.Keys(prefix); len(keys) > 0 {
+			t.Errorf("seed %d: left behind: %.300s", seed, strings.Join(keys, "\n"))
+		}
+	}
+	if v := w.Verdict(); v != "kept" {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+}
