--- a/internal/simtest/upgrade.go
+++ b/internal/simtest/upgrade.go
@@ -87,7 +87,7 @@
 		}
 		r.Machines = append(r.Machines, m)
 	}
-	return json.MarshalIndent(r, "", " ")
+	return json.Marshal(r)
 }
 
 // Load makes a world that has just begun go on from a recording. Its
--- a/internal/simtest/upgrade_test.go
+++ b/internal/simtest/upgrade_test.go
@@ -41,7 +41,7 @@
 	submit("shards=8 cards=1 run=70s flavors=card")
 	submit("shards=2 cards=1 run=5s flavors=card") // beyond the team's limit
 	submit("shards=2 run=80s team=blue")
-	submit("shape=gang shards=2 run=1s yard=b scatter rank=high")
+	submit("shape=gang shards=2 run=1s scatter rank=high")
 	submit("shards=3 run=50s rank=idle snap=4s")
 	w.Run(24 * time.Second)
 	w.Poll("req-000900")
@@ -87,6 +87,11 @@
 	w.Cancel("req-000904") // a service
 	if got := w.Do("all", Args{"within": "240s"}, ""); got != fmt.Sprintf("%d done", len(w.accepted())) {
 		t.Errorf("%s of %d", got, len(w.accepted()))
+		for _, id := range w.accepted() {
+			if w.check.told[id] != "done" {
+				t.Errorf("%s is %s:\n%.600s", id, w.check.told[id], strings.Join(append(w.Keys("j/"+id), w.Keys("r/"+id)...), "\n"))
+			}
+		}
 	}
 	if v := w.Verdict(); v != "kept" {
 		t.Error(v)
