--- a/internal/simtest/hang.go
+++ b/internal/simtest/hang.go
@@ -150,7 +150,7 @@
 // by then is on it, however soon it is stopped after that.
 func (c *Checker) wentOn(k *worker) {
 	for _, t := range k.sorted() {
-		if at, ok := c.cancelAt[t.job.idOf()]; ok && t.onMachine() && c.w.now-at > seconds(c.w.cfg.Settings.Workers.CancelS) {
+		if at, ok := c.offSince(t.job.idOf()); ok && t.onMachine() && c.overdue(at) {
 			c.broken("ran_cancelled: %s goes on on %s", t.shard, k.name)
 		}
 	}
--- a/internal/simtest/script.go
+++ b/internal/simtest/script.go
@@ -70,6 +70,9 @@
 	if j.yard != "" {
 		o["yard"] = j.yard
 	}
+	if ids := w.await(j, a); ids != nil {
+		o["awaits"] = ids
+	}
 	j.body, _ = json.Marshal(o)
 	return j.body
 }
@@ -211,7 +214,7 @@
 func (w *World) accepted() []string {
 	var ids []string
 	for id := range w.check.told {
-		if !w.check.asked[id] {
+		if !w.check.calledOff(id) {
 			ids = append(ids, id)
 		}
 	}
@@ -498,7 +501,7 @@
 	case "rules":
 		return w.Verdict()
 	default:
-		return w.trouble(cmd, a)
+		return w.doChain(cmd, a, input)
 	}
 	return "ok"
 }
--- a/internal/simtest/waiting.go
+++ b/internal/simtest/waiting.go
@@ -21,7 +21,7 @@
 	rooms, used := c.rooms(), c.used()
 	for id, phase := range c.told {
 		j := c.w.jobs[id]
-		if phase == "done" || c.asked[id] || j == nil || j.broken || j.never != 0 || !c.fits(j, rooms, used) {
+		if phase == "done" || j == nil || c.calledOff(id) || c.held(id) || j.broken || j.never != 0 || !c.fits(j, rooms, used) {
 			delete(c.beside, id)
 			continue
 		}
--- a/internal/simtest/worker.go
+++ b/internal/simtest/worker.go
@@ -71,8 +71,9 @@
 	complete      map[int]bool
 	gangs         map[uint64]*gang
 	submitted     bool
-	body          []byte // the submission
-	never         int    // the status with which it is to be refused, 0: it can run
+	awaits        []string // jobs that must be done before any task of it starts
+	body          []byte   // the submission
+	never         int      // the status with which it is to be refused, 0: it can run
 }
 
 func (j *job) begin(now time.Duration) {
@@ -395,29 +396,7 @@
 			m.on.changed = true
 			m.gen++
 		}
-		var end func()
-		end = func() {
-			if g.over || g.stopAt != 0 {
-				return
-			}
-			for i := range j.n {
-				if m := g.tasks[i]; m != nil && m.on.hung {
-					m.on.whenAwake(end)
-					return
-				}
-			}
-			g.over = true
-			for i := range j.n {
-				j.complete[i] = true
-			}
-			for i := range j.n {
-				if m := g.tasks[i]; m != nil && m.phase == "running" {
-					m.on.exit(m, "done", false)
-				}
-			}
-			k.w.ended(j)
-		}
-		k.w.after(j.run-j.progress[0], end)
+		k.w.endsAfter(j, g, j.run-j.progress[0])
 		return
 	}
 	k.w.later(t, seconds(k.w.cfg.Settings.Workers.GangWaitS), func() { k.exit(t, "incomplete", false) })
