--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -148,7 +148,7 @@
 		Lease: lease, Grace: grace}, n.store, log)
 	n.fleet = fleet.New(n.names, n.jobs, log)
 	n.fleet.Silent = n.silent()
-	n.rental = rental.New(rental.Config{Addr: cfg.Services.Cloud, RPS: s.Cloud.RPS, ListLag: config.Seconds(s.Cloud.ListLagS),
+	n.rental = rental.New(rental.Config{ValueBytes: n.jobs.ValueLimit, Addr: cfg.Services.Cloud, RPS: s.Cloud.RPS, ListLag: config.Seconds(s.Cloud.ListLagS),
 		IdleKeep: time.Duration(cfg.Operator.Rental.IdleKeep), Settle: time.Duration(cfg.Operator.Rental.Settle)}, n.names, n.jobs, n.fleet, n.store, log)
 	n.placer = &place.Placer{Jobs: n.jobs, Fleet: n.fleet, Flavors: &n.rental.Flavors, Teams: teams, Report: config.Seconds(s.Workers.ReportS), Silent: n.silent()}
 	n.intake = intake.New(intake.Config{Label: cfg.Label, Teams: s.Teams, Answer: time.Duration(cfg.Operator.Intake.Answer),
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -28,11 +28,12 @@
 
 // Config are the settings of this slice.
 type Config struct {
-	Addr     string
-	RPS      float64
-	ListLag  time.Duration
-	IdleKeep time.Duration // an idle machine is kept this long
-	Settle   time.Duration // after a term begins nothing is returned for this long
+	ValueBytes int // of the state service
+	Addr       string
+	RPS        float64
+	ListLag    time.Duration
+	IdleKeep   time.Duration // an idle machine is kept this long
+	Settle     time.Duration // after a term begins nothing is returned for this long
 }
 
 const (
@@ -272,8 +273,8 @@
 		var v wireTypes
 		_ = json.Unmarshal(body, &v)
 		raw, err := json.Marshal(v)
-		if err != nil {
-			return
+		if err != nil || len(raw) > r.cfg.ValueBytes {
+			return // each controller still learns them from the cloud
 		}
 		r.store.Submit(&store.Intent{Priority: store.Accept, Conds: []store.Cond{*term},
 			Writes: []store.Write{{Key: TypesKey, Data: raw}},
