--- a/internal/simtest/misfortunes_test.go
+++ b/internal/simtest/misfortunes_test.go
@@ -14,7 +14,7 @@
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	long := seconds(0.1 + w.rng.Float64()*20)
 	w.lasting(long)
-	switch w.rng.IntN(26) {
+	switch w.rng.IntN(28) {
 	case 9:
 		// Several are back within a fraction of a second, wherever they were.
 		for _, n := range w.nodes {
@@ -126,6 +126,15 @@
 				}
 			})
 		}
+	case 26:
+		w.slowState = seconds(w.rng.Float64() * 4)
+		w.after(long, func() { w.slowState = 0 })
+	case 27:
+		if l := w.Leader(); l != nil && w.rng.IntN(2) == 0 {
+			n = l
+		}
+		n.blind = true
+		w.after(long, func() { n.blind = false })
 	case 25:
 		w.someMachines(func(k *worker) {
 			w.Deafen(k, true)
@@ -183,38 +192,3 @@
 		w.after(out, func() { w.state.outage(false) })
 	})
 }
-
-// cutZone cuts the workers of a zone and a controller off from everything else.
-func (w *World) cutZone(n *node, zone string, d time.Duration) {
-	in := map[string]bool{n.name: true}
-	for _, k := range w.Workers() {
-		in[k.name] = k.zone == zone
-	}
-	out := []string{"state", "cloud", "user"}
-	for _, o := range w.nodes {
-		if o != n {
-			out = append(out, o.name)
-		}
-	}
-	for _, k := range w.Workers() {
-		if !in[k.name] {
-			out = append(out, k.name)
-		}
-	}
-	cut := func(on bool) {
-		for _, k := range w.Workers() {
-			if in[k.name] {
-				for _, o := range w.nodes {
-					if o != n {
-						w.Cut(k.name, o.name, on)
-					}
-				}
-			}
-		}
-		for _, o := range out {
-			w.Cut(n.name, o, on)
-		}
-	}
-	cut(true)
-	w.after(d, func() { cut(false) })
-}
--- a/internal/simtest/troubles.go
+++ b/internal/simtest/troubles.go
@@ -14,11 +14,12 @@
 // troubles are those of the network and of users that last for a while, each
 // as the share of what it befalls.
 type troubles struct {
-	lateWrites   float64 // transactions that get no answer and are carried out late
-	heldReports  float64 // reports that arrive seconds late, maybe elsewhere
-	heldCommands float64 // direct commands that arrive, or whose answers arrive, seconds late
-	cancelEnds   float64 // jobs that end that are cancelled at that moment
-	odd          bool    // users ask odd things
+	lateWrites   float64       // transactions that get no answer and are carried out late
+	heldReports  float64       // reports that arrive seconds late, maybe elsewhere
+	heldCommands float64       // direct commands that arrive, or whose answers arrive, seconds late
+	slowState    time.Duration // within which the state service answers
+	cancelEnds   float64       // jobs that end that are cancelled at that moment
+	odd          bool          // users ask odd things
 	oddIDs       int
 	troubleTo    time.Duration // when the last trouble that was brought ends
 }
@@ -63,8 +64,11 @@
 	w.after(d, func() { w.send(from, to, do) })
 }
 
-// heldCommand draws for how long a command and its answer are held up.
+// heldCommand draws for how long a call and its answer are held up.
 func (w *World) heldCommand(to string) (there, back time.Duration) {
+	if to == "state" && w.slowState > 0 {
+		return 0, w.between(0, w.slowState)
+	}
 	if to == "state" || to == "cloud" || !w.befalls(w.heldCommands) {
 		return 0, 0
 	}
@@ -395,6 +399,14 @@
 				w.after(a.dur("for", "5s"), func() { w.Deafen(k, false) })
 			}
 		}
+	case "blind", "seeing":
+		for _, n := range w.pick(a["node"]) {
+			n.blind = cmd == "blind"
+		}
+	case "slow_state":
+		w.slowState = a.dur("within", "0s")
+	case "cut_zone":
+		w.cutZone(w.pick(a["node"])[0], a["zone"], a.dur("for", "20s"))
 	case "ask":
 		// From here on users ask that controller.
 		w.users = w.pick(a["node"])[0]
@@ -422,3 +434,38 @@
 	}
 	return "ok"
 }
+
+// cutZone cuts the workers of a zone and a controller off from everything else.
+func (w *World) cutZone(n *node, zone string, d time.Duration) {
+	in := map[string]bool{n.name: true}
+	for _, k := range w.Workers() {
+		in[k.name] = k.zone == zone
+	}
+	out := []string{"state", "cloud", "user"}
+	for _, o := range w.nodes {
+		if o != n {
+			out = append(out, o.name)
+		}
+	}
+	for _, k := range w.Workers() {
+		if !in[k.name] {
+			out = append(out, k.name)
+		}
+	}
+	cut := func(on bool) {
+		for _, k := range w.Workers() {
+			if in[k.name] {
+				for _, o := range w.nodes {
+					if o != n {
+						w.Cut(k.name, o.name, on)
+					}
+				}
+			}
+		}
+		for _, o := range out {
+			w.Cut(n.name, o, on)
+		}
+	}
+	cut(true)
+	w.after(d, func() { cut(false) })
+}
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -193,6 +193,7 @@
 	conns map[uint64]func(status int, body []byte)
 	next  uint64
 
+	blind      bool // its questions about changes get no answer, its other requests do
 	denied     bool // the state service answers everybody but this one
 	frozen     bool
 	freezeNext time.Duration
@@ -360,7 +361,7 @@
 		to = wk.name
 		serve = func(a func(int, any)) { wk.serve(c.Path, c.Body, a) }
 	}
-	if to == "state" && n.lateWrite(c) {
+	if to == "state" && (n.lateWrite(c) || n.blind && strings.HasPrefix(c.Path, "/follow")) {
 		return
 	}
 	there, back := n.w.heldCommand(to)
