--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -327,8 +327,16 @@
 		return nil, errImpossible
 	}
 	fits := false
+	zones := map[int]bool{}
 	for _, f := range *in.flavors {
-		fits = fits || place.Allowed(&j.Spec, f)
+		if place.Allowed(&j.Spec, f) {
+			fits = true
+			for _, z := range f.Zones {
+				if j.Zone < 0 || z == j.Zone {
+					zones[z] = true
+				}
+			}
+		}
 	}
 	n := 1.0
 	if j.Whole() {
@@ -338,7 +346,7 @@
 	if !fits || (team.CoresMax > 0 && n*j.Cores > team.CoresMax+eps) || (team.CardsMax > 0 && n*j.Cards > team.CardsMax+eps) {
 		return nil, errImpossible
 	}
-	if j.Scatter && j.SamePlace && j.N > 1 && j.Shape != pipeline.Array {
+	if j.Scatter && j.N > 1 && j.Whole() && (j.SamePlace || len(zones) < 2) {
 		return nil, errImpossible // at most half in a zone, and all in one
 	}
 	j.Class, j.Team, j.Bundle = in.names.Classes.Index(*s.Class), in.names.Teams.Index(*s.Owner), in.names.Bundles.Index(*s.Bundle)
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -375,6 +375,9 @@
 	return list
 }
 
+// before is the order of readiness. Jobs of one transaction have the same.
+func before(a, b *Job) bool { return a.Order < b.Order || (a.Order == b.Order && a.ID < b.ID) }
+
 // Unfinished returns the ready jobs that are not over, in the order in which
 // they became ready.
 func (t *Table) Unfinished() []*Job {
@@ -385,7 +388,7 @@
 			list = append(list, j)
 		}
 	}
-	sort.Slice(list, func(a, b int) bool { return list[a].Order < list[b].Order })
+	sort.Slice(list, func(a, b int) bool { return before(list[a], list[b]) })
 	return list
 }
 
@@ -522,7 +525,7 @@
 	for j := range t.dirty {
 		list = append(list, j)
 	}
-	sort.Slice(list, func(a, b int) bool { return list[a].Order < list[b].Order })
+	sort.Slice(list, func(a, b int) bool { return before(list[a], list[b]) })
 	for _, j := range list {
 		if t.finish(j, now, term, s) {
 			continue
