--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -93,7 +93,10 @@
 	if j.EffRank > o.EffRank {
 		return true
 	}
-	if !j.Within || j.Team == o.Team {
+	// What a team runs within its own guarantee is not stopped for another's,
+	// nor what was placed a moment ago: of two jobs that stopped each other so
+	// in every round, before either was stored, none would ever start.
+	if !j.Within || j.Team == o.Team || o.Within || !e.Durable {
 		return false
 	}
 	// Only what borrows the very thing that is guaranteed gives way.
--- /dev/null
+++ b/internal/place/preempt_test.go
@@ -0,0 +1,41 @@
+package place
+
+import (
+	"testing"
+
+	"lugward/internal/config"
+	"lugward/internal/pipeline"
+)
+
+// For its guarantee a team stops what another runs beyond its own, once that is
+// stored: neither a job within its own guarantee nor what was placed a moment
+// ago. Two jobs that stopped each other before either was stored left room for
+// both idle for minutes.
+func TestStoppedForGuarantee(t *testing.T) {
+	s := newSite()
+	mine, other := s.Jobs.Names.Teams.Index("t"), s.Jobs.Names.Teams.Index("u")
+	s.Teams = map[int]config.Team{mine: {Cores: 8}, other: {Cores: 4}}
+	asks := s.job("req-1", nil)
+	borrower := func(j *pipeline.Job) { j.Team, j.Cores = other, 4 }
+	within, beyond := s.job("req-2", borrower), s.job("req-3", borrower)
+	fresh := s.Jobs.Place(beyond, 0, 0, 1, int64(s.now))
+	s.Jobs.Listen(pipeline.RunKey, "req-2/0", []byte(`{"t":1,"a":[[0,1,"i-1"]]}`), 9)
+	s.standing(s.Jobs.Unfinished())
+	if !asks.Within || !within.Within || beyond.Within {
+		t.Fatalf("within the guarantee: %v %v %v", asks.Within, within.Within, beyond.Within)
+	}
+	if s.outranks(asks, within.Entry(0)) {
+		t.Error("a job within its own team's guarantee is stopped")
+	}
+	if s.outranks(asks, fresh) {
+		t.Error("a task is stopped before it is stored")
+	}
+	s.Jobs.Listen(pipeline.RunKey, "req-3/0", []byte(`{"t":1,"a":[[0,1,"i-1"]]}`), 10)
+	if e := beyond.Entry(0); !e.Durable || !s.outranks(asks, e) {
+		t.Error("what a team borrows does not give way")
+	}
+	asks.EffRank = pipeline.High
+	if !s.outranks(asks, within.Entry(0)) {
+		t.Error("work of lower rank does not give way")
+	}
+}
