--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -375,10 +375,10 @@
 		out.Busy(r.Conn, retryAfter)
 	case err != nil:
 		in.refuse(r.Conn, id, 422, nil)
-	case !in.known(id, s.up):
+	case !in.known(s.up):
 		// The replica may be behind the node that accepted what it names.
 		in.refuse(r.Conn, id, 422, func(now step.Time, out *step.Out) bool {
-			if !in.known(id, s.up) {
+			if !in.known(s.up) {
 				return false
 			}
 			in.accept(now, r.Conn, j, s.up, out)
@@ -404,13 +404,10 @@
 	})
 }
 
-// known tells whether the replica shows that a job may await all of a list:
-// accepted jobs, other than itself, that are no services.
-func (in *Intake) known(id string, up []string) bool {
+// known tells whether the replica shows that a new job may await all of a list:
+// accepted jobs, so not itself, that are no services.
+func (in *Intake) known(up []string) bool {
 	for _, u := range up {
-		if u == id {
-			return false
-		}
 		if f, ok := in.jobs.Finals[u]; ok {
 			if f.Daemon {
 				return false
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -456,6 +456,10 @@
 				s.lose = hit
 			}
 			status := n.submit(1, list).Status
+			// Carried out twice a part changes nothing: it is written again at once.
+			if want := map[string]int{"u/req-1/0": 503, "j/req-1": map[bool]int{true: 201, false: 200}[late]}[key]; want != status && (want != 0 || status != 201) {
+				t.Errorf("%s, late %v: the first answer is %d", key, late, status)
+			}
 			for range 8 {
 				if status == 201 || status == 200 {
 					break
@@ -480,6 +484,20 @@
 	}
 }
 
+// A repeat that comes before anything is stored waits for the first.
+func TestRepeatAtOnce(t *testing.T) {
+	s := newService(t)
+	n := newNode(t, s, "n0")
+	list := n.long(1_000_000, 1500)
+	r := step.Request{Method: "POST", Path: "/submissions", Body: []byte(body(1, list))}
+	for r.Conn = 1001; r.Conn <= 1002; r.Conn++ {
+		n.in.Handle(n.now, r, &n.out)
+	}
+	n.run(2 * time.Second)
+	n.expect("first", n.replies[1001], 201, "queued")
+	n.expect("repeat", n.replies[1002], 503, "")
+}
+
 // Two nodes are given the same long submission: one attempt at a time, and one
 // that was left behind is taken over with another list.
 func TestRivalAttempts(t *testing.T) {
