--- a/internal/simtest/troubles.go
+++ b/internal/simtest/troubles.go
@@ -378,6 +378,8 @@
 		w.heldCommands = a.num("share", "0")
 	case "cancel_at_end":
 		w.cancelEnds = a.num("share", "0")
+	case "cancel_soon":
+		w.cancelSoon(a["id"])
 	case "cancel_now":
 		return strconv.Itoa(len(w.cancelNow(int(a.num("count", "1")), a.dur("hang", "0s"))))
 	case "odd":
