--- a/internal/simtest/chains.go
+++ b/internal/simtest/chains.go
@@ -374,9 +374,15 @@
 		return strings.TrimSpace(fmt.Sprintf("%d %s", status, phase))
 	case "begin":
 		// A request that nobody waits for.
-		if a.flag("cancel") {
+		switch {
+		case a.flag("cancel"):
 			w.cancelOn(a["id"])
-		} else {
+		case a.flag("once"):
+			// Its user gives up.
+			body := w.Body(a)
+			w.jobs[a["id"]].submitted = true
+			w.request("user", w.door(), "POST", "/submissions", body, 5*time.Second, func(int, []byte) {})
+		default:
 			w.submitOn(a)
 		}
 	case "answer":
--- a/internal/simtest/chains_test.go
+++ b/internal/simtest/chains_test.go
@@ -46,62 +46,92 @@
 			w.state.lower(Args{"value": "2", "ops": "4", "writes": "20"})
 		}
 	}
-	kinds := []string{"array", "array", "gang"}
-	for i := range 12 {
-		a := Args{"id": fmt.Sprintf("req-%06d", i), "shape": kinds[w.rng.IntN(len(kinds))], "shards": fmt.Sprint(1 + w.rng.IntN(4)),
-			"run": fmt.Sprintf("%ds", 1+w.rng.IntN(10)), "team": []string{"red", "blue"}[w.rng.IntN(2)],
+	next := 0
+	// one adds a job that needs others, at once or without waiting for it.
+	one := func(awaits []string, apart bool) (id string, accepted bool) {
+		a := Args{"id": fmt.Sprintf("req-%06d", next), "shape": []string{"array", "array", "gang"}[w.rng.IntN(3)], "shards": fmt.Sprint(1 + w.rng.IntN(4)),
+			"run": fmt.Sprintf("%ds", 1+w.rng.IntN(12)), "team": []string{"red", "blue"}[w.rng.IntN(2)],
 			"rank": []string{"idle", "normal", "high", "production"}[w.rng.IntN(4)]}
+		next++
 		if w.rng.IntN(2) == 0 {
 			a["loaners"] = ""
 		}
 		if w.rng.IntN(12) == 0 {
 			a["shards"], a["cores"], a["ram"] = "200", "0.02", "0.02"
 		}
-		var awaits []string
-		if len(open) > 0 && w.rng.IntN(5) != 0 {
-			for range 1 + w.rng.IntN(3) {
-				awaits = append(awaits, open[len(open)-1-w.rng.IntN(min(len(open), 5))])
-			}
-			if w.rng.IntN(6) == 0 {
-				awaits = append(awaits, "req-005000*400") // several values and transactions
-			}
+		if len(awaits) > 0 && w.rng.IntN(8) == 0 {
+			awaits = append(awaits, "req-005000*400") // several values and transactions
+		}
+		if len(awaits) > 0 {
 			a["awaits"] = strings.Join(awaits, "+")
 		}
-		switch {
-		case len(awaits) > 0 && w.rng.IntN(4) == 0:
-			// A submission that meets a cancellation of what it needs.
-			one := awaits[0]
-			w.after(seconds(w.rng.Float64()/2), func() { w.cancelOn(one) })
+		all = append(all, a["id"])
+		if apart {
 			w.after(seconds(w.rng.Float64()/2), func() { w.submitOn(a) })
-			all = append(all, a["id"])
+			return a["id"], false
+		}
+		status, _ := w.Submit(a)
+		switch status {
+		case 200, 201:
+			open = append(open, a["id"])
+			return a["id"], true
+		case 503, 429, 0:
 		default:
-			switch status, _ := w.Submit(a); status {
-			case 200, 201:
-				open = append(open, a["id"])
-			case 503, 429, 0:
-			default:
-				t.Errorf("seed %d: %s gets %d", seed, a["id"], status)
+			t.Errorf("seed %d: %s gets %d", seed, a["id"], status)
+		}
+		return a["id"], false
+	}
+	for range 5 {
+		// A pipeline: each job needs one or two before it, some an older one.
+		var stages []string
+		for k := range 2 + w.rng.IntN(4) {
+			var awaits []string
+			if k > 0 && len(stages) > 0 {
+				for range 1 + w.rng.IntN(2) {
+					awaits = append(awaits, stages[len(stages)-1-w.rng.IntN(min(len(stages), 3))])
+				}
+			}
+			if len(open) > 0 && w.rng.IntN(4) == 0 {
+				awaits = append(awaits, open[w.rng.IntN(len(open))])
 			}
-			all = append(all, a["id"])
+			if id, ok := one(awaits, false); ok {
+				stages = append(stages, id)
+			}
+			if w.rng.IntN(5) == 0 {
+				w.Run(seconds(w.rng.Float64() * 4)) // the next comes late
+			}
+		}
+		if w.rng.IntN(3) != 0 {
+			w.meeting()
 		}
-		w.meeting()
-		if w.rng.IntN(8) == 0 {
+		if w.rng.IntN(6) == 0 {
 			// The limits fall in an outage.
 			w.state.outage(true)
 			lower()
 			w.after(seconds(1+w.rng.Float64()*10), func() { w.state.outage(false) })
-		} else if w.rng.IntN(10) == 0 {
+		} else if w.rng.IntN(6) == 0 {
 			lower()
 		}
-		if w.rng.IntN(4) == 0 {
+		if w.rng.IntN(3) == 0 {
 			w.state.lagKey, w.state.lagFor, w.state.lagged = []string{"f/", "j/", "u/"}[w.rng.IntN(3)], seconds(2+w.rng.Float64()*10), 1+w.rng.IntN(2)
 		}
-		w.Run(seconds(w.rng.Float64() * 5))
-		if w.rng.IntN(2) == 0 && len(open) > 0 {
-			w.Poll(open[w.rng.IntN(len(open))])
+		if len(stages) > 0 && w.rng.IntN(4) == 0 {
+			// A submission that meets the cancellation of what it needs.
+			up := stages[w.rng.IntN(len(stages))]
+			one([]string{up}, true)
+			w.after(seconds(w.rng.Float64()/2), func() { w.cancelOn(up) })
 		}
-		if w.rng.IntN(7) == 0 && len(open) > 0 {
-			w.Cancel(open[w.rng.IntN(len(open))])
+		w.Run(seconds(w.rng.Float64() * 8))
+		if len(stages) > 0 && w.rng.IntN(2) == 0 {
+			w.Poll(stages[w.rng.IntN(len(stages))])
+		}
+		if len(stages) > 0 && w.rng.IntN(4) == 0 {
+			w.Cancel(stages[w.rng.IntN(len(stages))])
+		}
+		for _, id := range stages {
+			if w.rng.IntN(3) == 0 {
+				w.Poll(id)
+			}
 		}
 	}
 	lower()
