--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,8 +53,8 @@
 }
 
 // Lasting are the limits that hold before and after they change: the smaller
-// ones of each kind. They count for all that is written from the start, as the
-// change comes without notice.
+// ones of each kind. Those on sizes count for all that is written from the start,
+// as the change comes without notice; those on rates from the first 429 on.
 func (s StateLimits) Lasting() StateLimits {
 	if n := s.Next; n != nil {
 		lower(&s.RPS, n.RPS)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -138,8 +138,8 @@
 	grace := lead.GraceFor(config.Seconds(s.Workers.CancelS), lease)
 	// A leader answers reports only while its replica is fresher than the
 	// grace: where cancellations have little time, an idle one must not age.
-	n.store = store.New(cfg.Services.State, store.Limits{TxnOps: limits.TxnOps, RPS: limits.RPS, WriteRPS: limits.WriteRPS,
-		StaleAfter: min(staleAfter, grace/4)}, n.listen)
+	n.store = store.New(cfg.Services.State, store.Limits{TxnOps: limits.TxnOps, RPS: s.State.RPS, WriteRPS: s.State.WriteRPS,
+		NextRPS: limits.RPS, NextWriteRPS: limits.WriteRPS, StaleAfter: min(staleAfter, grace/4)}, n.listen)
 	n.store.Log = log
 	labels := []string{cfg.Label}
 	for _, p := range cfg.Seeds {
@@ -170,10 +170,10 @@
 // says it could use; one that we do not hear counts with its sure part.
 // It returns what we could use ourselves.
 func (n *Node) share(now step.Time) (requests, writes float64) {
-	s := n.cfg.Settings.State.Lasting()
+	rps, writeRPS := n.store.Rates()
 	requests, writes = n.store.Demand(now)
-	n.store.SetShare(n.split(s.RPS, requests, func(f *peer.Frame) uint16 { return f.Requests }),
-		n.split(s.WriteRPS, writes, func(f *peer.Frame) uint16 { return f.Writes }))
+	n.store.SetShare(n.split(rps, requests, func(f *peer.Frame) uint16 { return f.Requests }),
+		n.split(writeRPS, writes, func(f *peer.Frame) uint16 { return f.Writes }))
 	return requests, writes
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -93,8 +93,11 @@
 // Limits are the service's published limits and our part of the rates.
 type Limits struct {
 	TxnOps   int
-	RPS      float64 // this node's part
+	RPS      float64
 	WriteRPS float64
+	// Those that count from the first 429 on, 0: the same. The service may
+	// lower its rates without notice.
+	NextRPS, NextWriteRPS float64
 	// A replica this old is refreshed without being asked.
 	StaleAfter time.Duration
 }
@@ -192,6 +195,20 @@
 	c.watchEvery, c.barrierEvery = pause, pause
 }
 
+// Rates are what the service takes of all nodes together, as far as we know.
+func (c *Client) Rates() (rps, writeRPS float64) { return c.limits.RPS, c.limits.WriteRPS }
+
+// lower goes over to the rates that were announced: a 429 is the first sign of
+// them. One that came of a burst costs little.
+func (c *Client) lower() {
+	if next := c.limits.NextRPS; next > 0 {
+		c.limits.RPS = min(c.limits.RPS, next)
+	}
+	if next := c.limits.NextWriteRPS; next > 0 {
+		c.limits.WriteRPS = min(c.limits.WriteRPS, next)
+	}
+}
+
 // Submit queues an intent. It is given up as Refused at the time expires.
 func (c *Client) Submit(in *Intent, expires step.Time) {
 	in.expires = expires
@@ -240,6 +257,8 @@
 			c.outage = false
 		} else if status != 429 {
 			c.outage = true
+		} else {
+			c.lower()
 		}
 		f(now, status, body, out)
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -192,3 +192,30 @@
 		t.Errorf("stamp %d at %d", b.Stamp("f/req-1"), b.Epoch())
 	}
 }
+
+// The first 429 is the sign that the announced rates are in force; without any
+// announced, the known ones stay.
+func TestRatesLowered(t *testing.T) {
+	for _, c := range []struct {
+		next, want float64
+	}{{10, 10}, {200, 60}, {0, 60}} {
+		limits := open
+		limits.NextWriteRPS = c.next
+		b := newBench(limits)
+		in, results := write("a")
+		b.Submit(in, b.now+time.Minute)
+		b.wait(0)
+		if _, before := b.Rates(); before != 60 {
+			t.Fatalf("%v writes a second from the start", before)
+		}
+		b.answer(b.take("/commit")[0], 429, `{}`)
+		if rps, after := b.Rates(); after != c.want || rps != 100 {
+			t.Errorf("announced %v: %v writes and %v requests a second", c.next, after, rps)
+		}
+		b.wait(time.Second)
+		b.answer(b.take("/commit")[0], 200, `{"epoch":9}`)
+		if len(*results) != 1 || (*results)[0].Outcome != OK {
+			t.Errorf("the write: %+v", *results)
+		}
+	}
+}
