--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -57,7 +57,9 @@
 	relayWait = 3 * time.Second
 	// The state service's rates: everyone is sure of a part, the rest goes
 	// where it is asked for, to the leader before the others.
-	useRate      = 0.9  // what others still have in flight counts, too
+	// Of the requests a part is left for what others still have in flight. Of
+	// the writes none is: one that is refused is sent again at once.
+	useRequests  = 0.9
 	sureRate     = 0.25 // dealt evenly whatever is asked for
 	wantMargin   = 1.3
 	leaderWeight = 3
@@ -172,7 +174,7 @@
 func (n *Node) share(now step.Time) (requests, writes float64) {
 	rps, writeRPS := n.store.Rates()
 	requests, writes = n.store.Demand(now)
-	n.store.SetShare(n.split(rps, requests, func(f *peer.Frame) uint16 { return f.Requests }),
+	n.store.SetShare(n.split(useRequests*rps, requests, func(f *peer.Frame) uint16 { return f.Requests }),
 		n.split(writeRPS, writes, func(f *peer.Frame) uint16 { return f.Writes }))
 	return requests, writes
 }
@@ -194,7 +196,7 @@
 			claims = append(claims, claim(0, false))
 		}
 	}
-	return store.Split(rate*useRate, claims)[0]
+	return store.Split(rate, claims)[0]
 }
 
 func (n *Node) listen(key string, data []byte, stamp uint64) {
