A team's jobs are promised together what its limit leaves

Tests: TestRentsWithinLimit (3 machines instead of 1 without it), TestPromisedWithinLimit (8 reservations instead of 4).

--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -21,6 +21,12 @@
 // Usage is what tasks take of machines or of a team's limit.
 type Usage struct{ Cores, Cards, RAM float64 }
 
+// Add counts n tasks.
+func (u *Usage) Add(s *Spec, n float64) {
+	u.Cores += n * s.Cores
+	u.Cards += n * s.Cards
+}
+
 // Table is the replica of the graph with the leader's wishes.
 type Table struct {
 	Names    *Names
@@ -221,8 +227,7 @@
 
 func (t *Table) count(e *Entry, sign float64) {
 	u := t.team[e.Job.Team]
-	u.Cores += sign * e.Job.Cores
-	u.Cards += sign * e.Job.Cards
+	u.Add(&e.Job.Spec, sign)
 	t.team[e.Job.Team] = u
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -127,6 +127,7 @@
 	reserved int                    // tasks with a reservation in this round
 	lowest   pipeline.Rank          // of what runs
 	leaving  map[int]pipeline.Usage // by team, of what this round stops
+	promised map[int]pipeline.Usage // by team, of the room that this round keeps for it
 }
 
 // room counts what is left of a machine, unless nothing has changed there.
@@ -232,6 +233,7 @@
 	p.standing(all)
 	jobs := slices.DeleteFunc(all, func(j *pipeline.Job) bool { return !j.Waits(int64(now)) })
 	order(jobs, now)
+	p.leaving, p.promised = map[int]pipeline.Usage{}, map[int]pipeline.Usage{}
 	start := slices.IndexFunc(jobs, func(j *pipeline.Job) bool { return j == p.resume })
 	if start < 0 {
 		start, p.held = 0, p.held[:0]
@@ -244,12 +246,12 @@
 		for _, h := range p.held {
 			if r := at[h.host]; r != nil && h.job.OpenCount() > 0 && h.job.Final == pipeline.Queued {
 				r.Take(&h.job.Spec, 1)
+				p.promise(h.job)
 			}
 		}
 	}
 	p.resume = nil
 	p.reserved = 0
-	p.leaving = map[int]pipeline.Usage{}
 	for i, j := range jobs[start:] {
 		if i > 0 && p.Elapsed != nil && p.Elapsed() {
 			p.resume = j
@@ -276,10 +278,18 @@
 // hold gives room that is not free yet to a task that waits for it.
 func (p *Placer) hold(j *pipeline.Job, r *Room, now step.Time) {
 	r.Take(&j.Spec, 1)
+	p.promise(j)
 	r.Host.Wanted = now
 	p.held = append(p.held, holding{j, r.Host})
 }
 
+// promise notes that a team is to get what a task of the job takes.
+func (p *Placer) promise(j *pipeline.Job) {
+	u := p.promised[j.Team]
+	u.Add(&j.Spec, 1)
+	p.promised[j.Team] = u
+}
+
 type holding struct {
 	job  *pipeline.Job
 	host *fleet.Host
@@ -339,8 +349,7 @@
 	p.lowest = pipeline.Production
 	for _, j := range all {
 		t, u, n := p.Teams[j.Team], sum[j.Team], float64(j.N-j.DoneCount())
-		u.Cores += n * j.Cores
-		u.Cards += n * j.Cards
+		u.Add(&j.Spec, n)
 		sum[j.Team] = u
 		cores, cards := t.Cores > 0 && j.Cores > 0, t.Cards > 0 && j.Cards > 0
 		j.Within = (cores || cards) && (!cores || u.Cores <= t.Cores+slack) && (!cards || u.Cards <= t.Cards+slack)
@@ -351,9 +360,15 @@
 }
 
 // Quota returns how many more tasks of the job its team's limit allows.
-func (p *Placer) Quota(j *pipeline.Job) int {
+func (p *Placer) Quota(j *pipeline.Job) int { return p.QuotaBeside(j, pipeline.Usage{}) }
+
+// QuotaBeside is the quota once the team also has what is promised to other jobs
+// of it: else each of many jobs would be promised all that the limit leaves.
+func (p *Placer) QuotaBeside(j *pipeline.Job, promised pipeline.Usage) int {
 	t := p.Teams[j.Team]
 	u := p.Jobs.Team(j.Team)
+	u.Cores += promised.Cores
+	u.Cards += promised.Cards
 	n := math.MaxInt32
 	if t.CoresMax > 0 && j.Cores > 0 {
 		n = min(n, int((t.CoresMax-u.Cores+slack)/j.Cores))
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -22,8 +22,11 @@
 // emptied is counted first, so that a job does not stop more than it needs. It
 // returns how many tasks are left without a promise.
 func (p *Placer) preempt(j *pipeline.Job, rooms []*Room, now step.Time) (left int) {
-	left = min(j.OpenCount(), p.Quota(j))
-	if left == 0 || (j.Shape == pipeline.Gang && left < j.OpenCount()) || (j.EffRank <= p.lowest && !j.Within) {
+	left = min(j.OpenCount(), p.QuotaBeside(j, p.promised[j.Team]))
+	if j.Shape == pipeline.Gang && left < j.OpenCount() {
+		return 0 // whole or not at all
+	}
+	if left == 0 || (j.EffRank <= p.lowest && !j.Within) {
 		return left
 	}
 	price := func(r *Room, taken map[*pipeline.Entry]bool) (float64, []*pipeline.Entry, bool) {
@@ -82,8 +85,7 @@
 // leave notes that a team gives up what a task uses.
 func (p *Placer) leave(e *pipeline.Entry) {
 	u := p.leaving[e.Job.Team]
-	u.Cores += e.Job.Cores
-	u.Cards += e.Job.Cards
+	u.Add(&e.Job.Spec, 1)
 	p.leaving[e.Job.Team] = u
 }
 
--- a/internal/place/preempt_test.go
+++ b/internal/place/preempt_test.go
@@ -39,3 +39,27 @@
 		t.Error("work of lower rank does not give way")
 	}
 }
+
+// All jobs of a team together are promised what its limit leaves, not each of
+// them; a gang that the limit does not admit whole is promised nothing.
+func TestPromisedWithinLimit(t *testing.T) {
+	for _, c := range []struct {
+		shape pipeline.Shape
+		n     int
+		limit float64
+		want  int
+	}{{pipeline.Array, 4, 4, 4}, {pipeline.Array, 4, 6, 6}, {pipeline.Array, 4, 0, 8}, {pipeline.Gang, 6, 4, 0}} {
+		s := newSite()
+		other := s.Jobs.Names.Teams.Index("u")
+		s.Teams = map[int]config.Team{s.Jobs.Names.Teams.Index("t"): {CoresMax: c.limit}}
+		s.job("req-1", func(j *pipeline.Job) { j.Team = other })
+		s.Jobs.Listen(pipeline.RunKey, "req-1/0", []byte(`{"t":1,"a":[[0,1,"i-1"]]}`), 9)
+		for _, id := range []string{"req-2", "req-3"} {
+			s.job(id, func(j *pipeline.Job) { j.Shape, j.N, j.Cores = c.shape, c.n, 1 })
+		}
+		s.Round(s.now)
+		if got := s.Reserved(); got != c.want {
+			t.Errorf("%d tasks, limit %v: %d reserved, not %d", c.n, c.limit, got, c.want)
+		}
+	}
+}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -620,11 +620,15 @@
 		}
 	}
 	need := map[offer]int{}
+	promised := map[int]pipeline.Usage{} // by team
 	for _, j := range blocked {
-		left := min(j.OpenCount(), p.Quota(j))
+		left := min(j.OpenCount(), p.QuotaBeside(j, promised[j.Team]))
 		if j.Shape == pipeline.Gang && left < j.OpenCount() {
 			continue
 		}
+		u := promised[j.Team]
+		u.Add(&j.Spec, float64(left))
+		promised[j.Team] = u
 		left += again[j]
 		boot := r.bootTime(j)
 		for _, room := range rooms {
--- /dev/null
+++ b/internal/rental/rental_test.go
@@ -0,0 +1,57 @@
+package rental
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"lugward/internal/config"
+	"lugward/internal/fleet"
+	"lugward/internal/pipeline"
+	"lugward/internal/place"
+	"lugward/internal/step"
+	"lugward/internal/store"
+)
+
+// Machines are rented for what a team's limit lets all of its jobs together
+// have, not for what it would let each of them have alone.
+func TestRentsWithinLimit(t *testing.T) {
+	for _, c := range []struct {
+		limit float64
+		want  int
+	}{{4, 1}, {8, 2}, {0, 3}} {
+		n := &pipeline.Names{}
+		jobs := pipeline.NewTable(n, 4096, 12)
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		f := fleet.New(n, jobs, log)
+		s := store.New("state", store.Limits{TxnOps: 12, RPS: 100, WriteRPS: 60}, func(string, []byte, uint64) {})
+		r := New(Config{Addr: "cloud", RPS: 100, IdleKeep: time.Minute}, n, jobs, f, s, log)
+		r.mayPlan = true
+		if !r.takeTypes([]byte(`{"flavors":[{"name":"small","cores":4,"ram_gb":16,"price":1,"low_price":1,"ready_s":10,"yards":["a"]}]}`)) {
+			t.Fatal("the types are not taken")
+		}
+		n.Classes.Index("c")
+		n.Bundles.Index("b")
+		p := &place.Placer{Jobs: jobs, Fleet: f, Flavors: &r.Flavors, Teams: map[int]config.Team{n.Teams.Index("t"): {CoresMax: c.limit}}, Silent: time.Minute}
+		var blocked []*pipeline.Job
+		for i, id := range []string{"req-1", "req-2", "req-3"} {
+			j := &pipeline.Job{ID: id, Ready: true, Spec: pipeline.Spec{N: 4, Cores: 1, RAM: 1, Zone: -1}}
+			jobs.Listen(pipeline.JobKey, id, pipeline.Encode(n, j), uint64(i+1))
+			blocked = append(blocked, jobs.Job(id))
+		}
+		var out step.Out
+		r.Plan(time.Second, blocked, p, 1, &out)
+		got := 0
+		for _, call := range out.Calls {
+			var v struct{ Number int }
+			if call.Path == "/rentals" && json.Unmarshal(call.Body, &v) == nil {
+				got += v.Number
+			}
+		}
+		if got != c.want {
+			t.Errorf("limit %v: %d machines asked for, not %d", c.limit, got, c.want)
+		}
+	}
+}
