--- a/internal/simtest/misfortunes_test.go
+++ b/internal/simtest/misfortunes_test.go
@@ -1,6 +1,10 @@
 package simtest
 
-import "time"
+import (
+	"fmt"
+	"testing"
+	"time"
+)
 
 // meeting brings two random faults that meet.
 func (w *World) meeting() {
@@ -192,3 +196,13 @@
 		w.after(out, func() { w.state.outage(false) })
 	})
 }
+
+// TestSeedsThatBroke plays again what broke a rule in long trials.
+func TestSeedsThatBroke(t *testing.T) {
+	for _, seed := range []uint64{
+		27732, // all machines gone: every leader yields before its proof of silence
+		25980, // a term begins before the replica holds what was stored before it
+	} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, seed) })
+	}
+}
