The leader marks jobs of an owner that the state service refuses

An owner that is heard but can't write kept its held jobs waiting for as long as the refusal lasted (scenario chain_owner_refused: not done within 40 s without the change). Both marks share the code that writes them.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -406,13 +406,13 @@
 
 // mark writes the ready marks of held jobs and the cancelled marks of jobs
 // below a cancelled one, of those that we own and as leader of those whose owner
-// is away. Each write requires the record as it was, so two owners do no harm.
+// can't. Each write requires the record as it was, so two owners do no harm.
 func (n *Node) mark(now step.Time) {
 	if !n.store.Synced() {
 		return
 	}
 	ours := func(j *pipeline.Job) bool {
-		return j.Owner == n.cfg.Label || (n.leading && !n.ownerPresent(j.Owner))
+		return j.Owner == n.cfg.Label || (n.leading && !n.ownerWrites(j.Owner))
 	}
 	n.jobs.MarkReady(now, n.store, ours)
 	n.jobs.MarkDoomed(now, n.store, ours)
@@ -440,10 +440,12 @@
 		}}, now+time.Minute)
 }
 
-func (n *Node) ownerPresent(label string) bool {
+// ownerWrites tells whether an owner can be left to mark its jobs: one that the
+// state service alone refuses is heard all the same.
+func (n *Node) ownerWrites(label string) bool {
 	for _, p := range n.peers {
 		if p.label == label {
-			return n.present(p)
+			return n.present(p) && p.beat.StateOK
 		}
 	}
 	return false
--- a/internal/pipeline/graph.go
+++ b/internal/pipeline/graph.go
@@ -355,18 +355,24 @@
 }
 
 func (t *Table) markReady(j *Job, now time.Duration, s Submitter) {
-	j.marking = true
-	t.graph.readying++
 	ready := *j
 	ready.Ready, ready.Parts, ready.Attempt, ready.ReadyAt = true, 0, 0, t.UnixMS(now)
-	s.Submit(&store.Intent{Priority: store.Place,
-		Conds:  []store.Cond{{Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}},
-		Writes: []store.Write{{Key: JobKeyOf(j.ID), Data: Encode(t.Names, &ready)}},
-		Done: func(r store.Result) {
-			j.marking = false
-			t.graph.readying--
-			j.backOff(r)
-		}}, now+writeFor)
+	j.mark(&t.graph.readying, now, s, &store.Intent{Priority: store.Place,
+		Writes: []store.Write{{Key: JobKeyOf(j.ID), Data: Encode(t.Names, &ready)}}})
+}
+
+// mark submits the writes of a mark on condition of the job's record and of no
+// final mark; count is of such marks under way.
+func (j *Job) mark(count *int, now time.Duration, s Submitter, in *store.Intent) {
+	j.marking = true
+	*count++
+	in.Conds = []store.Cond{{Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}}
+	in.Done = func(r store.Result) {
+		j.marking = false
+		*count--
+		j.backOff(r)
+	}
+	s.Submit(in, now+writeFor)
 }
 
 // MarkDoomed logs, a few at a time, that jobs of ours are cancelled with one
@@ -389,16 +395,8 @@
 
 // markDoomed writes the mark and drops the record.
 func (t *Table) markDoomed(j *Job, now time.Duration, s Submitter) {
-	j.marking = true
-	t.graph.marking++
-	s.Submit(&store.Intent{Priority: store.Progress,
-		Conds:  []store.Cond{{Key: JobKeyOf(j.ID), Stamp: j.Stamp}, {Key: FinalKeyOf(j.ID)}},
-		Writes: []store.Write{{Key: FinalKeyOf(j.ID), Data: EncodeFinal(Cancelled, j)}, {Key: JobKeyOf(j.ID)}},
-		Done: func(r store.Result) {
-			j.marking = false
-			t.graph.marking--
-			j.backOff(r)
-		}}, now+writeFor)
+	j.mark(&t.graph.marking, now, s, &store.Intent{Priority: store.Progress,
+		Writes: []store.Write{{Key: FinalKeyOf(j.ID), Data: EncodeFinal(Cancelled, j)}, {Key: JobKeyOf(j.ID)}}})
 }
 
 // PartKey is the kind of the keys that hold a long list of upstream jobs:
