--- a/internal/simtest/check.go
+++ b/internal/simtest/check.go
@@ -8,7 +8,8 @@
 )
 
 // Checker watches the rules of the protocol. It knows nothing of the service's
-// own records: only what workers do and what users are told.
+// own records: only what workers do and what users are told. The one
+// exception are done marks, without which no job that needs another may start.
 type Checker struct {
 	w        *World
 	Broken   []string
