Cards are kept for jobs that need them and have not begun for 150 s

Tasks without cards are not placed there, nor stop work or hold room there, for the first minute of their wait, while a job that needs cards has not begun for 150 s; the plan rents other machines for them.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -4,6 +4,7 @@
 	"container/heap"
 
 	"lugward/internal/pipeline"
+	"lugward/internal/step"
 )
 
 // pick is room for one task of a job on a machine, and what it costs.
@@ -43,11 +44,11 @@
 
 // choose picks room for n tasks of a job, the cheapest first, in one zone or
 // in any. Nothing is changed by it.
-func (p *Placer) choose(j *pipeline.Job, rooms []*Room, zone, n int, price pricing) []pick {
+func (p *Placer) choose(j *pipeline.Job, rooms []*Room, zone, n int, price pricing, now step.Time) []pick {
 	taken := map[*pipeline.Entry]bool{}
 	list := p.offers[:0]
 	for i, r := range rooms {
-		if (zone != anyZone && r.Zone != zone) || !r.Suits(&j.Spec) || !r.holds(&j.Spec) || j.BadHosts[r.Host.Index] || r.Host.Draining {
+		if (zone != anyZone && r.Zone != zone) || !p.Suits(j, r, now) || !r.holds(&j.Spec) || j.BadHosts[r.Host.Index] || r.Host.Draining {
 			continue
 		}
 		if cost, victims, ok := price(r, taken); ok {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -104,6 +104,32 @@
 	return r.Flavor != nil && s.Allows(r.Flavor.Index) && (s.Zone < 0 || s.Zone == r.Zone) && (s.Loaners || !r.Spot)
 }
 
+const (
+	// Where a job that needs cards has not begun for this long, jobs without cards
+	// leave the machines with cards alone, since the largest are to begin within
+	// four minutes: for so long, in which others can be rented.
+	cardsAfter  = 150 * time.Second
+	cardsSpared = time.Minute
+)
+
+// Suits tells whether the job is to use the machine: cards do not lie idle under
+// it while jobs that need them have waited for long.
+func (p *Placer) Suits(j *pipeline.Job, r *Room, now step.Time) bool {
+	return r.Suits(&j.Spec) && (!p.cardsWanted || j.Cards > 0 || r.Flavor.Cards == 0 || int64(now)-j.FirstSeen > int64(cardsSpared) || !p.plain(j))
+}
+
+// plain tells whether there is a type without cards for the job.
+func (p *Placer) plain(j *pipeline.Job) bool {
+	return slices.ContainsFunc(*p.Flavors, func(f *Flavor) bool { return f != nil && f.Cards == 0 && Allowed(&j.Spec, f) })
+}
+
+// wantCards finds out whether a job that needs cards has not begun for long.
+func (p *Placer) wantCards(jobs []*pipeline.Job, now step.Time) {
+	p.cardsWanted = slices.ContainsFunc(jobs, func(j *pipeline.Job) bool {
+		return j.Cards > 0 && j.Active() == 0 && j.DoneCount() == 0 && int64(now)-j.FirstSeen > int64(cardsAfter) && p.Quota(j) > 0
+	})
+}
+
 // Placer makes the rounds.
 type Placer struct {
 	Jobs    *pipeline.Table
@@ -119,15 +145,17 @@
 	// Elapsed tells how much of the budget is used; nil: no limit.
 	Elapsed func() bool
 
-	counted  []Room                 // by machine, as its entries left it
-	offers   offers                 // room for choose, and
-	cands    []candidate            // for victims, to work in
-	resume   *pipeline.Job          // where the last round ran out of time
-	held     []holding              // by the jobs before that
-	reserved int                    // tasks with a reservation in this round
-	lowest   pipeline.Rank          // of what runs
-	leaving  map[int]pipeline.Usage // by team, of what this round stops
-	promised map[int]pipeline.Usage // by team, of the room that this round keeps for it
+	counted  []Room        // by machine, as its entries left it
+	offers   offers        // room for choose, and
+	cands    []candidate   // for victims, to work in
+	resume   *pipeline.Job // where the last round ran out of time
+	held     []holding     // by the jobs before that
+	reserved int           // tasks with a reservation in this round
+	lowest   pipeline.Rank // of what runs
+	// cardsWanted: a job that needs cards has not begun for long.
+	cardsWanted bool
+	leaving     map[int]pipeline.Usage // by team, of what this round stops
+	promised    map[int]pipeline.Usage // by team, of the room that this round keeps for it
 }
 
 // room counts what is left of a machine, unless nothing has changed there.
@@ -233,6 +261,7 @@
 	p.standing(all)
 	jobs := slices.DeleteFunc(all, func(j *pipeline.Job) bool { return !j.Waits(int64(now)) })
 	order(jobs, now)
+	p.wantCards(jobs, now)
 	p.leaving, p.promised = map[int]pipeline.Usage{}, map[int]pipeline.Usage{}
 	start := slices.IndexFunc(jobs, func(j *pipeline.Job) bool { return j == p.resume })
 	if start < 0 {
@@ -401,7 +430,7 @@
 	}
 	var list []scored
 	for _, r := range rooms {
-		if r.Fits(&j.Spec) > 0 && r.Suits(&j.Spec) && !j.BadHosts[r.Host.Index] {
+		if r.Fits(&j.Spec) > 0 && p.Suits(j, r, now) && !j.BadHosts[r.Host.Index] {
 			list = append(list, scored{r, p.score(j, r, now)})
 		}
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -50,3 +50,44 @@
 	n.Bundles.Index("b")
 	return n
 }
+
+// Jobs without cards leave machines with cards alone for a while, in placing,
+// stopping and reserving alike, where one that needs cards has not begun for
+// long; not where it has, where no other type would do, or when they have waited.
+func TestCardsAreKept(t *testing.T) {
+	for _, c := range []struct {
+		what          string
+		waited, plain time.Duration // of the job with cards, and the one without
+		begun, onlyIt bool
+		want          bool
+	}{
+		{"a job with cards waits", cardsAfter + time.Second, 0, false, false, true},
+		{"not for long", cardsAfter - time.Second, 0, false, false, false},
+		{"it has begun", cardsAfter + time.Second, 0, true, false, false},
+		{"no other type", cardsAfter + time.Second, 0, false, true, false},
+		{"the other has waited, too", cardsAfter + time.Second, cardsSpared + time.Second, false, false, false},
+	} {
+		s := newSite()
+		s.now = time.Hour
+		s.Jobs.Names.Flavors.Index("plain")
+		s.Jobs.Names.Flavors.Index("card")
+		*s.Flavors = Flavors{{Index: 0, Cores: 8, RAM: 32}, {Index: 1, Cores: 8, Cards: 4, RAM: 32}}
+		h := s.Fleet.Host("i-1", s.now)
+		h.Flavor, h.Heard = 1, s.now
+		waits := s.job("req-1", func(j *pipeline.Job) { j.N, j.Cores, j.Cards, j.RAM = 9, 1, 1, 40 })
+		other := s.job("req-2", func(j *pipeline.Job) {
+			j.Rank = pipeline.High
+			if c.onlyIt {
+				j.Flavors = []int{1}
+			}
+		})
+		waits.FirstSeen, other.FirstSeen = int64(s.now-c.waited), int64(s.now-c.plain)
+		if c.begun {
+			s.Jobs.Listen(pipeline.RunKey, "req-1/0", []byte(`{"t":1,"a":[[0,1,"i-9"]]}`), 9)
+		}
+		s.Round(s.now)
+		if kept := other.Active() == 0 && s.Reserved() == 0; kept != c.want {
+			t.Errorf("%s: kept %v", c.what, kept)
+		}
+	}
+}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -41,7 +41,7 @@
 	var best []pick
 	least := math.Inf(1)
 	for _, z := range p.zonesOf(j, rooms) {
-		picks := p.choose(j, rooms, z, left, price)
+		picks := p.choose(j, rooms, z, left, price, now)
 		if len(picks) == 0 || (j.Shape == pipeline.Gang && len(picks) < left) {
 			continue
 		}
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -31,7 +31,7 @@
 	var best []pick
 	soonest, chosen := math.Inf(1), anyZone
 	for _, z := range p.zonesOf(j, rooms) {
-		picks := p.choose(j, rooms, z, left, price)
+		picks := p.choose(j, rooms, z, left, price, now)
 		if len(picks) == 0 {
 			continue
 		}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -645,7 +645,7 @@
 			if left == 0 {
 				break
 			}
-			if room == nil || !room.Suits(&j.Spec) || (room.Host != nil && j.BadHosts[room.Host.Index]) || (only >= 0 && room.Zone != only) {
+			if room == nil || !p.Suits(j, room, now) || (room.Host != nil && j.BadHosts[room.Host.Index]) || (only >= 0 && room.Zone != only) {
 				continue
 			}
 			if n := min(left, room.Fits(&j.Spec), place.ZoneRoom(j, inZone, room.Zone)); n > 0 {
