Packing counts what its earlier passes have stopped

Change: capacity for what is being stopped to run elsewhere is set aside first; jobs for which there is none count as blocked. Test: TestPackCountsWhatMoves fails without the change.

--- a/internal/scheduler/pack.go
+++ b/internal/scheduler/pack.go
@@ -21,21 +21,12 @@
 // to save, and marks the machines as draining so that they are released once empty.
 // capacities is what the last round left. The budget of a round bounds it.
 func (s *Scheduler) Pack(now event.Time, capacities []*Capacity, blocked []*pipeline.Job) (drained []*worker.Machine) {
+	receivers := listReceivers(capacities)
+	blocked = append(slices.Clone(blocked), s.reserveForMoving(receivers)...)
 	donors := s.drainable(now, capacities, blocked)
-	if len(donors) == 0 {
-		return nil
-	}
 	// The dearest are drained first, then the emptiest; the others are filled from
 	// the other end.
 	slices.SortStableFunc(donors, compareForDraining)
-	var receivers []*Capacity
-	for _, capacity := range capacities {
-		if capacity.Busy && capacity.Machine != nil && !capacity.Machine.Draining {
-			receiver := *capacity
-			receivers = append(receivers, &receiver)
-		}
-	}
-	slices.SortStableFunc(receivers, func(a, b *Capacity) int { return compareForDraining(b, a) })
 	receives := map[*worker.Machine]bool{}
 	for i, donor := range donors {
 		if i > 0 && s.overBudget() {
@@ -50,6 +41,46 @@
 	return drained
 }
 
+// listReceivers lists copies of what is left of the machines that may take tasks of
+// others, the cheapest and fullest first.
+func listReceivers(capacities []*Capacity) []*Capacity {
+	var receivers []*Capacity
+	for _, capacity := range capacities {
+		if capacity.Busy && capacity.Machine != nil && !capacity.Machine.Draining {
+			receiver := *capacity
+			receivers = append(receivers, &receiver)
+		}
+	}
+	slices.SortStableFunc(receivers, func(a, b *Capacity) int { return compareForDraining(b, a) })
+	return receivers
+}
+
+// reserveForMoving allocates what the tasks need that are being stopped to run
+// elsewhere: they are placed again only once they have terminated, and until then
+// every pass would count the same free capacity anew and drain machines whose tasks
+// fit nowhere. It returns the jobs of those that find no capacity.
+func (s *Scheduler) reserveForMoving(receivers []*Capacity) (blocked []*pipeline.Job) {
+	for _, machine := range s.Workers.Machines {
+		if machine == nil {
+			continue
+		}
+		for _, entry := range s.Jobs.OnMachine(machine.Index) {
+			if !entry.Evict || entry.Job.Final != pipeline.Queued {
+				continue
+			}
+			i := slices.IndexFunc(receivers, func(receiver *Capacity) bool {
+				return receiver.Fits(&entry.Job.Spec) > 0 && receiver.accepts(entry.Job, s.Jobs.Now)
+			})
+			if i < 0 {
+				blocked = append(blocked, entry.Job)
+				continue
+			}
+			receivers[i].Allocate(&entry.Job.Spec, 1)
+		}
+	}
+	return blocked
+}
+
 // drain moves the tasks of a machine and keeps new ones off it.
 func (s *Scheduler) drain(machine *worker.Machine) {
 	for _, entry := range s.Jobs.OnMachine(machine.Index) {
--- /dev/null
+++ b/internal/scheduler/pack_test.go
@@ -0,0 +1,50 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lugward/internal/pipeline"
+)
+
+// Machines of eight CPUs with one task of four each: two tasks fit on one machine.
+// A pass drains as many machines as the others can take the tasks of, and the next
+// one, two seconds later, none: what the first has stopped has not terminated yet,
+// and its capacity is spoken for. Passes that counted that capacity once more
+// drained 77 machines in four seconds, and 232 tasks fitted nowhere.
+func TestPackCountsWhatMoves(t *testing.T) {
+	const machines = 6
+	s := newSite()
+	s.Jobs.Now = int64(s.now)
+	for i := range machines {
+		name := fmt.Sprintf("i-%d", i+1)
+		addMachine(s.Workers, name, s.now)
+		id := fmt.Sprintf("req-%d", i+1)
+		job := s.job(id, func(j *pipeline.Job) {
+			j.CPUs, j.EstimatedRuntime, j.CheckpointInterval = 4, 600, 5
+		})
+		record := fmt.Sprintf(`{"t":1,"a":[[0,1,%q]]}`, name)
+		s.Jobs.Listen(pipeline.RunKey, id+"/0", []byte(record), 100)
+		entry := job.Entry(0)
+		entry.Phase = pipeline.RunningTask
+		entry.StartedAt = int64(s.now - time.Minute)
+	}
+	first := s.Pack(s.now, s.Capacities(s.now), nil)
+	if len(first) != machines/2 {
+		t.Fatalf("%d of %d machines drained, not half of them", len(first), machines)
+	}
+	if second := s.Pack(s.now, s.Capacities(s.now), nil); len(second) != 0 {
+		t.Errorf("%d more machines drained while the tasks of the first ones have no place yet", len(second))
+	}
+	waiting := s.job("req-9", func(j *pipeline.Job) { j.CPUs = 1 })
+	for _, machine := range first {
+		for _, entry := range s.Jobs.OnMachine(machine.Index) {
+			entry.Evict = false
+		}
+		machine.Draining = false
+	}
+	if third := s.Pack(s.now, s.Capacities(s.now), []*pipeline.Job{waiting}); len(third) != 0 {
+		t.Errorf("%d machines drained of a type on which a job waits", len(third))
+	}
+}
