Machines that others reach through a relay show nothing of a silent one

Change: what reaches us through another controller does not show that its zone is connected to us. The reports are sorted once a zone instead of compared for each silent machine, which took machines times silent ones.

--- a/internal/autoscaler/zones.go
+++ b/internal/autoscaler/zones.go
@@ -79,8 +79,12 @@
 				silent = append(silent, machine)
 			}
 		}
+		if len(silent) == 0 {
+			continue
+		}
+		reports := connectedReports(machines, scan)
 		for _, machine := range silent {
-			if countReportingAfter(machine, machines, scan) < reportingPerSilent*len(silent) {
+			if countAfter(reports, machine.LastReport+scan.silentAfter*3/4) < reportingPerSilent*len(silent) {
 				continue
 			}
 			a.log.Info("silent machine released", "machine", machine.Name, "tasks", len(a.jobs.OnMachine(machine.Index)))
@@ -89,17 +93,26 @@
 	}
 }
 
-// countReportingAfter counts the machines that show that their zone is connected
-// though one of them is silent. Machines behind one partition go silent one by one,
-// each when its next report is due: only those that reported well after the silent
-// one count.
-func countReportingAfter(silent *worker.Machine, machines []*worker.Machine, scan *scan) (count int) {
-	wellAfter := silent.LastReport + scan.silentAfter*3/4
+// connectedReports lists, in order, when the machines of a zone last reported that
+// show by it that the zone is connected to us. Those do not that were silent a while
+// ago, nor those whose reports come through another controller: what cuts them off
+// from us may cut off a machine that has not found that way yet.
+func connectedReports(machines []*worker.Machine, scan *scan) []event.Time {
+	recent := func(at event.Time) bool { return at != 0 && scan.now-at <= partitionMemory }
+	var reports []event.Time
 	for _, machine := range machines {
-		settled := machine.ReconnectedAt == 0 || scan.now-machine.ReconnectedAt > partitionMemory
-		if machine.LastReport > wellAfter && settled {
-			count++
+		if !recent(machine.ReconnectedAt) && !recent(machine.RelayedAt) {
+			reports = append(reports, machine.LastReport)
 		}
 	}
-	return count
+	slices.Sort(reports)
+	return reports
+}
+
+// countAfter counts the reports well after a machine's last one. Machines behind one
+// partition go silent one by one, each when its next report is due, so those that
+// reported shortly after it show nothing.
+func countAfter(reports []event.Time, wellAfter event.Time) int {
+	at, _ := slices.BinarySearch(reports, wellAfter+1)
+	return len(reports) - at
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -70,6 +70,9 @@
 		n.respond(from, event.StatusServiceUnavailable, nil, out)
 		return
 	}
+	if from.relayID != 0 {
+		n.workers.MarkRelayed(report.Machine, now)
+	}
 	n.leadership.lastReport = now
 	n.leadership.resignedUnheard = false
 	waiting := &waitingReport{
--- a/internal/engine/calls.go
+++ b/internal/engine/calls.go
@@ -19,7 +19,8 @@
 	// should end before its call does.
 	dialTimeout = 1500 * time.Millisecond
 	// maxResponseBytes bounds the body of a response. Those of the state
-	// service to a watch have no limit of their own.
+	// service to a watch have no limit of their own; what is larger ends the call
+	// with event.ResponseTooLarge, and its caller reads the keys page by page.
 	maxResponseBytes = 8 << 20
 )
 
@@ -159,6 +160,11 @@
 	if errors.Is(err, httpwire.ErrIncomplete) {
 		return gnet.None
 	}
+	if errors.Is(err, httpwire.ErrTooLarge) {
+		c.closeAfter = true // the rest of the response is still to come
+		e.finishCall(c.call.ID, event.ResponseTooLarge, nil)
+		return gnet.None
+	}
 	if err != nil {
 		return gnet.Close
 	}
--- a/internal/engine/calls_test.go
+++ b/internal/engine/calls_test.go
@@ -56,6 +56,8 @@
 		body   string
 	}{
 		{serveRaw(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"), event.StatusOK, "{}"},
+		{serveRaw(t, "HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n{"), event.ResponseTooLarge, ""},
+		{serveRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n900000\r\n{"), event.ResponseTooLarge, ""},
 		{serveRaw(t, "not http at all\r\n\r\n"), event.NoResponse, ""},
 		{serveRaw(t, "HTTP/1.1 2"), event.NoResponse, ""},
 		{serveRaw(t, ""), event.NoResponse, ""},
--- a/internal/event/status.go
+++ b/internal/event/status.go
@@ -5,6 +5,9 @@
 const (
 	// NoResponse stands for the status of a call that got no response.
 	NoResponse = 0
+	// ResponseTooLarge stands for the status of a call whose response exceeds what
+	// we buffer. The request was carried out; asking the same again would fail again.
+	ResponseTooLarge = -1
 
 	StatusOK                 = 200
 	StatusBadRequest         = 400
--- a/internal/simtest/check.go
+++ b/internal/simtest/check.go
@@ -39,19 +39,24 @@
 
 func (c *Checker) refused(cause, _ string) { c.refusals[cause]++ }
 
-// onMachines lists every task that is on a machine.
-func (c *Checker) onMachines() []*task {
-	var list []*task
+// eachOnMachine calls f for every task that is on a machine, in any order.
+func (c *Checker) eachOnMachine(f func(t *task)) {
 	for _, k := range c.w.workers {
-		if !k.up || k.certainlyLost() {
+		if len(k.tasks) == 0 || !k.up || k.certainlyLost() {
 			continue
 		}
 		for _, t := range k.tasks {
 			if t.onMachine() {
-				list = append(list, t)
+				f(t)
 			}
 		}
 	}
+}
+
+// onMachines lists every task that is on a machine, sorted by name and machine.
+func (c *Checker) onMachines() []*task {
+	var list []*task
+	c.eachOnMachine(func(t *task) { list = append(list, t) })
 	sort.Slice(list, func(a, b int) bool {
 		return list[a].name < list[b].name || (list[a].name == list[b].name && list[a].on.name < list[b].on.name)
 	})
@@ -64,28 +69,25 @@
 	t.job.attempts++
 	j, k := t.job, t.on
 	inZone := map[string]int{k.zone: 1}
-	use := map[string][2]float64{}
-	add := func(o *task) {
-		u := use[o.job.team]
-		use[o.job.team] = [2]float64{u[0] + o.job.cpus, u[1] + o.job.gpus}
-	}
-	add(t)
-	for _, o := range c.onMachines() {
-		if o == t {
-			continue
+	cpus, gpus := j.cpus, j.gpus // what the team uses
+	c.eachOnMachine(func(o *task) {
+		if o == t || o.job == nil || o.job.team != j.team {
+			return
 		}
-		add(o)
-		if o.name == t.name {
-			c.broken("ran_twice: %s starts on %s while on %s", t.name, k.name, o.on.name)
+		cpus += o.job.cpus
+		gpus += o.job.gpus
+		if o.job != j {
+			return
 		}
-		if o.job == j && o.name != t.name {
+		if o.index == t.index {
+			c.broken("ran_twice: %s starts on %s while on %s", t.name, k.name, o.on.name)
+		} else {
 			inZone[o.on.zone]++
 		}
-	}
+	})
 	for _, team := range c.w.cfg.Settings.Teams {
-		u := use[team.Name]
-		if team.Name == j.team && ((team.CPUsMax > 0 && u[0] > team.CPUsMax+1e-6) || (team.GPUsMax > 0 && u[1] > team.GPUsMax+1e-6)) {
-			c.broken("quota: team %s uses %v", team.Name, u)
+		if team.Name == j.team && ((team.CPUsMax > 0 && cpus > team.CPUsMax+1e-6) || (team.GPUsMax > 0 && gpus > team.GPUsMax+1e-6)) {
+			c.broken("quota: team %s uses %v CPUs, %v GPUs", team.Name, cpus, gpus)
 		}
 	}
 	allowed := j.machineTypes == nil
@@ -117,11 +119,11 @@
 // moment checks what must hold at any time.
 func (c *Checker) moment() {
 	c.noteReleased()
-	for _, t := range c.onMachines() {
+	c.eachOnMachine(func(t *task) {
 		if at, ok := c.cancelledSince(t.job.id); ok && c.overdue(at) {
 			c.broken("ran_cancelled: %s on %s", t.name, t.on.name)
 		}
-	}
+	})
 	c.checkWaitsBesideCapacity()
 }
 
--- a/internal/simtest/commands.go
+++ b/internal/simtest/commands.go
@@ -61,6 +61,7 @@
 	number("nodes", "controllers"),
 	number("seed", "of all random draws"),
 	number("report", "seconds between a worker's reports"),
+	number("lease", "seconds that a worker's lease lasts"),
 	number("cancel", "seconds that a cancellation may take"),
 	number("maxgpus", "the first team's limit of GPUs"),
 	number("rps", "the state service's limit of requests per second"),
--- a/internal/simtest/commands_faults.go
+++ b/internal/simtest/commands_faults.go
@@ -50,7 +50,8 @@
 
 // networkCommands bring faults to the network.
 var networkCommands = map[string]command{
-	"cut":            {"stops packets between controllers and another party", withArguments(onlyNode, need(text("from", "workers, state, cloud, user or a controller")), text("zone", "only the workers of a zone")), act(func(w *World, a Args) { cutLinks(w, a, true) })},
+	"cut": {"stops packets between controllers and another party", withArguments(onlyNode, need(text("from", "workers, state, cloud, user or a controller")), text("zone", "only the workers of a zone"),
+		number("refused", "share of requests to controllers over cut links that fail at once, 0 if absent: the others hang")), act(func(w *World, a Args) { cutLinks(w, a, true) })},
 	"heal":           {"ends cut", withArguments(onlyNode, need(text("from", "workers, state, cloud, user or a controller")), text("zone", "only the workers of a zone")), act(func(w *World, a Args) { cutLinks(w, a, false) })},
 	"cut_zone":       {"cuts a zone's workers and a controller off from everything else", withArguments(onlyNode, need(text("zone", "zone")), duration("for", "20s if absent")), cutOffZone},
 	"network":        {"lets links lose packets and repeat requests late", []argument{number("loss", "share of packets that are lost"), number("late", "share of requests that are carried out once more, late")}, act(func(w *World, a Args) { w.loss, w.late = a.num("loss", "0"), a.num("late", "0") })},
@@ -221,6 +222,7 @@
 }
 
 func cutLinks(w *World, a Args, on bool) {
+	w.refusedWhenCut = a.num("refused", "0")
 	for _, n := range w.pick(a["node"]) {
 		if a["from"] != "workers" {
 			w.Cut(n.name, a["from"], on)
--- a/internal/simtest/commands_jobs.go
+++ b/internal/simtest/commands_jobs.go
@@ -54,6 +54,8 @@
 	"begin":  {"submits a job without waiting for the answer", withArguments(jobArguments, boolean("cancel", "cancels instead"), boolean("once", "the user does not repeat it")), act(beginRequest)},
 	"answer": {"prints the answer to what begin sent", withArguments(onlyID, need(oneOf("of", "request", "submit", "cancel")), boolean("accepted", "prints accepted for 200 and 201"), duration("within", "70s if absent")), show(answerOf)},
 	"poll":   {"asks for a job's state once", onlyID, show(func(w *World, a Args) string { return statusAndPhase(w.Poll(a["id"])) })},
+	"storm": {"lets users ask about accepted jobs, drawn at random, and prints how many were answered while they waited",
+		[]argument{need(number("count", "questions")), duration("over", "in that time, 5s if absent")}, show(pollStorm)},
 	"cancel": {"cancels a job; prints status and phase", onlyID, show(func(w *World, a Args) string { return statusAndPhase(w.Cancel(a["id"])) })},
 	"cancel_soon": {"cancels a job without waiting for the answer", onlyID,
 		act(func(w *World, a Args) { w.cancelSoon(a["id"]) })},
@@ -154,6 +156,30 @@
 	return got
 }
 
+// pollTimeout is how long users wait for the answer to a question.
+const pollTimeout = 2 * time.Second
+
+func pollStorm(w *World, a Args) string {
+	ids := w.accepted()
+	count, over := int(a.num("count", "1")), a.dur("over", "5s")
+	answered := 0
+	for range count {
+		id := ids[w.rng.IntN(len(ids))]
+		w.after(w.between(0, over), func() {
+			asked := w.now
+			w.request("user", w.entryNode(), "GET", "/submissions/"+id, nil, pollTimeout, func(status int, body []byte) {
+				w.check.answered(asked, id, status, phaseIn(body))
+				w.check.polled(id, status)
+				if status == 200 {
+					answered++
+				}
+			})
+		})
+	}
+	w.Run(over + pollTimeout)
+	return fmt.Sprintf("%d of %d answered", answered, count)
+}
+
 func untilPhase(w *World, a Args) string {
 	phase := ""
 	for end := w.now + a.dur("within", "60s"); w.now < end; w.Run(500 * time.Millisecond) {
--- a/internal/simtest/network.go
+++ b/internal/simtest/network.go
@@ -126,6 +126,10 @@
 		}
 	}
 	w.after(timeout, func() { once(0, nil) })
+	if w.cut[[2]string{from, n.name}] && w.strikes(w.refusedWhenCut) {
+		w.after(time.Millisecond, func() { once(0, nil) })
+		return
+	}
 	deliver := func(n *node, answer func(status int, body []byte)) {
 		if !n.up {
 			answer(0, nil)
--- a/internal/simtest/scenario_test.go
+++ b/internal/simtest/scenario_test.go
@@ -75,6 +75,7 @@
 func newScenarioWorld(a Args) *World {
 	w := NewWith(Announce(Settings, a), int(a.num("nodes", "3")), uint64(a.num("seed", "1")), logOut(), func(p *config.Platform) {
 		p.Settings.Workers.ReportS = a.num("report", "1")
+		p.Settings.Workers.LeaseS = a.num("lease", "10")
 		p.Settings.Workers.CancelS = a.num("cancel", "25")
 		if most := a.num("maxgpus", "0"); most > 0 {
 			p.Settings.Teams[0].GPUsMax = most
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -224,3 +224,23 @@
 		}
 	}
 }
+
+// TestAnswerTooLarge: a node that was away for so long that the changes since then
+// are more than it takes at once reads all keys page by page; asking for the same
+// changes again would never end.
+func TestAnswerTooLarge(t *testing.T) {
+	h := newHarness(ampleLimits, `{"key":"j/req-1","data":{"n":1},"stamp":3}`)
+	h.answer(h.take("/follow")[0], event.ResponseTooLarge, "")
+	if h.Synced() {
+		t.Fatal("the replica counts as complete")
+	}
+	h.wait(time.Second)
+	pages := h.take("/keys")
+	if len(pages) != 1 {
+		t.Fatalf("%d pages asked for", len(pages))
+	}
+	h.answer(pages[0], 200, `{"items":[{"key":"j/req-2","data":{"n":2},"stamp":90}],"has_next":false,"epoch":95}`)
+	if !h.Synced() || h.Revision() != 95 || h.values["j/req-1"] != "" || h.values["j/req-2"] != `{"n":2}` {
+		t.Errorf("synced %v at %d: %v", h.Synced(), h.Revision(), h.values)
+	}
+}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -50,8 +50,9 @@
 // takeChanges brings the replica up to date with an answer to /follow. It
 // reports whether the replica holds everything up to the request's sending.
 func (c *Client) takeChanges(now event.Time, r response) bool {
-	if r.status == httpwire.StatusGone {
-		// The log no longer reaches back to our revision: read every key again.
+	if r.status == httpwire.StatusGone || r.status == event.ResponseTooLarge {
+		// The log no longer reaches back to our revision, or so far that its part
+		// is more than we take at once: read every key again, page by page.
 		c.replica.synced = false
 		c.scan.notBefore = now
 		return false
--- a/internal/worker/reports.go
+++ b/internal/worker/reports.go
@@ -69,6 +69,12 @@
 	return true
 }
 
+// MarkRelayed records that the last report of a machine came through another
+// controller: the machine does not reach us itself.
+func (r *Registry) MarkRelayed(name string, now event.Time) {
+	r.Machine(name, now).RelayedAt = now
+}
+
 // outdates tells whether a report is not newer than the last one: it was delayed by
 // the network, or is a copy. Its list of tasks is out of date, and its sender waits
 // for no answer.
