--- a/internal/simtest/check.go
+++ b/internal/simtest/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -22,6 +23,8 @@
 	answeredAt     map[string]time.Duration // when a request about a job was last answered
 	releasedAt     map[string]time.Duration // when all was done that a job needs
 	acknowledgedAt map[string]time.Duration // when the last phase was first answered
+	instances      map[string][]*task       // by name, the attempts that have started and may be on machines
+	unanswered     int                      // reports of workers that got no answer
 	after          int                      // starts after a confirmed cancellation
 	beside         map[string]time.Duration // since when a job waits beside capacity for it
 	wrote          []int                    // number of writes at the last moments
@@ -30,7 +33,8 @@
 
 func newChecker(w *World) *Checker {
 	return &Checker{w: w, acknowledged: map[string]string{}, cancelAt: map[string]time.Duration{}, asked: map[string]bool{}, refusals: map[string]int{}, answeredAt: map[string]time.Duration{},
-		releasedAt: map[string]time.Duration{}, acknowledgedAt: map[string]time.Duration{}, beside: map[string]time.Duration{}, free: map[*worker][]capacity{}}
+		releasedAt: map[string]time.Duration{}, acknowledgedAt: map[string]time.Duration{}, beside: map[string]time.Duration{}, free: map[*worker][]capacity{},
+		instances: map[string][]*task{}}
 }
 
 func (c *Checker) broken(f string, a ...any) {
@@ -63,33 +67,60 @@
 	return list
 }
 
+// noteOnMachine notes that a task is on a machine.
+func (c *Checker) noteOnMachine(t *task) {
+	c.instances[t.name] = append(c.instances[t.name], t)
+}
+
+// checkTwice checks that a task that starts is on no other machine.
+func (c *Checker) checkTwice(t *task) {
+	c.instances[t.name] = slices.DeleteFunc(c.instances[t.name], func(o *task) bool {
+		return !o.on.up || o.on.tasks[o.name] != o || o.phase == "exited"
+	})
+	for _, o := range c.instances[t.name] {
+		if o.onMachine() && !o.on.certainlyLost() {
+			c.broken("ran_twice: %s starts on %s while on %s", t.name, t.on.name, o.on.name)
+		}
+	}
+	c.noteOnMachine(t)
+}
+
+// checkQuota checks the limit of a starting task's team, where the task takes of
+// what is limited.
+func (c *Checker) checkQuota(t *task) {
+	for _, team := range c.w.cfg.Settings.Teams {
+		limited := (team.CPUsMax > 0 && t.job.cpus > 0) || (team.GPUsMax > 0 && t.job.gpus > 0)
+		if team.Name != t.job.team || !limited {
+			continue
+		}
+		cpus, gpus := t.job.cpus, t.job.gpus
+		c.eachOnMachine(func(o *task) {
+			if o != t && o.job.team == t.job.team {
+				cpus += o.job.cpus
+				gpus += o.job.gpus
+			}
+		})
+		if (team.CPUsMax > 0 && cpus > team.CPUsMax+1e-6) || (team.GPUsMax > 0 && gpus > team.GPUsMax+1e-6) {
+			c.broken("quota: team %s uses %v CPUs, %v GPUs", team.Name, cpus, gpus)
+		}
+	}
+}
+
 // started is called when a task has its image and starts.
 func (c *Checker) started(t *task) {
 	c.starts++
 	t.job.attempts++
 	j, k := t.job, t.on
+	c.checkTwice(t)
 	inZone := map[string]int{k.zone: 1}
-	cpus, gpus := j.cpus, j.gpus // what the team uses
-	c.eachOnMachine(func(o *task) {
-		if o == t || o.job == nil || o.job.team != j.team {
-			return
-		}
-		cpus += o.job.cpus
-		gpus += o.job.gpus
-		if o.job != j {
-			return
-		}
-		if o.index == t.index {
-			c.broken("ran_twice: %s starts on %s while on %s", t.name, k.name, o.on.name)
-		} else {
-			inZone[o.on.zone]++
-		}
-	})
-	for _, team := range c.w.cfg.Settings.Teams {
-		if team.Name == j.team && ((team.CPUsMax > 0 && cpus > team.CPUsMax+1e-6) || (team.GPUsMax > 0 && gpus > team.GPUsMax+1e-6)) {
-			c.broken("quota: team %s uses %v CPUs, %v GPUs", team.Name, cpus, gpus)
-		}
+	if j.sameZone || j.scatter {
+		c.eachOnMachine(func(o *task) {
+			if o.job == j && o.index != t.index {
+				inZone[o.on.zone]++
+			}
+		})
 	}
+	c.checkQuota(t)
 	allowed := j.machineTypes == nil
 	for _, f := range j.machineTypes {
 		allowed = allowed || f == k.machineType
--- a/internal/simtest/scenario_test.go
+++ b/internal/simtest/scenario_test.go
@@ -105,6 +105,7 @@
 	}
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
 			s := &scenario{}
 			datadriven.RunTest(t, f, func(t *testing.T, d *datadriven.TestData) string {
 				output, err := s.play(d)
--- a/internal/simtest/upgrade.go
+++ b/internal/simtest/upgrade.go
@@ -182,6 +182,7 @@
 		k.start(order{Verb: "start", Task: o.Shard, Attempt: o.Try})
 	case j.shape == "gang":
 		k.tasks[o.Shard] = t
+		w.check.noteOnMachine(t)
 		k.images[j.id] = true
 		g := j.gangs[t.attempt]
 		if g == nil {
@@ -195,6 +196,7 @@
 		}
 	default:
 		k.tasks[o.Shard] = t
+		w.check.noteOnMachine(t)
 		k.images[j.id] = true
 		if j.shape == "array" {
 			w.later(t, j.run-j.progress[t.index]-o.Ran, func() {
