A machine list of many pages is read at the cloud's rate

Cause, found by a scenario with 4,000 machines and a cloud that takes few requests: the pages were asked for as fast as they came. Beyond about four seconds' worth of requests the cloud refused the rest, the reading began anew with the first page ten seconds later, and never came to its end; a new leader waits for a whole list before it provisions anything, so it never did. At two requests a second that is some 2,500 machines. Change: each page waits for the rate, one that did not come is asked for again, and the reading takes a quarter of the rate at most. Tests: the stand-in of the cloud has pages and a rate now, as its protocol says; size_leader_change starts 2,000 of 2,020 tasks without the change. The storm of polls passes over controllers that are down, as the load balancer does, so that its outcome does not hang on how many questions were drawn to go there.

--- a/internal/autoscaler/list.go
+++ b/internal/autoscaler/list.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	listInterval = 10 * time.Second // between two readings of the machine list
+	listInterval = 10 * time.Second // least time between two readings of the machine list
 	listLimit    = 500              // machines on a page
+	// listShare is the part of the cloud's rate that reading the list may take: the
+	// more machines, the more pages it has, and the rest is for provisioning and
+	// releasing.
+	listShare = 0.25
 )
 
 // Phases of a machine in the cloud's protocol.
@@ -24,16 +28,38 @@
 
 // listProgress is the state of reading the cloud's machine list.
 type listProgress struct {
-	inFlight    bool
-	requestedAt event.Time
-	planFrom    event.Time // plans need a list that was requested after this
-	current     bool       // such a list has been read
+	inFlight  bool       // a page is asked for
+	reading   bool       // pages of the present reading are left
+	after     string     // the machine behind which its next page begins
+	startedAt event.Time // when its first page was asked for
+	pages     int        // of it so far
+	planFrom  event.Time // plans need a list that was read after this
+	current   bool       // such a list has been read
 }
 
 func (l *listProgress) reset() {
-	l.inFlight = false
-	l.requestedAt = -listInterval
-	l.current = false
+	*l = listProgress{startedAt: -listInterval}
+}
+
+// interval is the time from the beginning of one reading to that of the next.
+func (l *listProgress) interval(rps float64) time.Duration {
+	seconds := float64(l.pages) / (listShare * rps)
+	return max(listInterval, time.Duration(seconds*float64(time.Second)))
+}
+
+// due tells whether a page is to be asked for.
+func (l *listProgress) due(now event.Time, rps float64) bool {
+	if l.inFlight {
+		return false
+	}
+	return l.reading || now-l.startedAt >= l.interval(rps)
+}
+
+// expedite lets the next reading begin at once.
+func (l *listProgress) expedite(now event.Time, rps float64) {
+	if !l.reading {
+		l.startedAt = now - l.interval(rps)
+	}
 }
 
 // bootingMachine is a provisioned machine that has not reported yet.
@@ -63,36 +89,47 @@
 }
 
 // listRequest asks for a page of the machine list.
-type listRequest struct {
-	requestedAt event.Time
-}
+type listRequest struct{}
 
-// readList reads the cloud's machine list from a machine on: it shows machines that
-// the registry does not know.
-func (a *Autoscaler) readList(now event.Time, from string, out *event.Effects) {
-	a.list.inFlight = true
-	a.list.requestedAt = now
+// readList asks for the next page of the cloud's machine list, which shows machines
+// that the registry does not know. The caller has checked that the cloud's rate
+// allows it: a list of many pages, read as fast as they come, would be refused
+// before its end, every time.
+func (a *Autoscaler) readList(now event.Time, out *event.Effects) {
+	list := &a.list
+	if !list.reading {
+		list.reading = true
+		list.startedAt = now
+		list.after = ""
+		list.pages = 0
+	}
+	list.inFlight = true
 	path := fmt.Sprintf("/rentals?limit=%d", listLimit)
-	if from != "" {
-		path += "&from=" + from
+	if list.after != "" {
+		path += "&from=" + list.after
 	}
-	a.call(http.MethodGet, path, nil, listRequest{now}, out)
+	a.call(http.MethodGet, path, nil, listRequest{}, out)
 }
 
-func (r listRequest) finish(a *Autoscaler, now event.Time, response response, out *event.Effects) {
-	a.list.inFlight = false
+// finish takes in a page. One that did not come is asked for again.
+func (r listRequest) finish(a *Autoscaler, now event.Time, response response, _ *event.Effects) {
+	list := &a.list
+	list.inFlight = false
 	var page wireList
 	if response.status != http.StatusOK || json.Unmarshal(response.body, &page) != nil {
 		return
 	}
+	list.pages++
 	for i := range page.Machines {
 		a.observeListed(&page.Machines[i], now)
 	}
 	if page.More && len(page.Machines) > 0 {
-		last := page.Machines[len(page.Machines)-1]
-		a.readList(now, last.Name, out)
-	} else if r.requestedAt >= a.list.planFrom {
-		a.list.current = true
+		list.after = page.Machines[len(page.Machines)-1].Name
+		return
+	}
+	list.reading = false
+	if list.startedAt >= list.planFrom {
+		list.current = true
 	}
 }
 
--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -31,8 +31,8 @@
 // rest machines are provisioned where a task costs least.
 func (a *Autoscaler) Plan(now event.Time, blocked []*pipeline.Job, s *scheduler.Scheduler, term uint64, out *event.Effects) {
 	if !a.list.current {
-		if now >= a.list.planFrom && !a.list.inFlight {
-			a.list.requestedAt = now - listInterval // the next tick reads it
+		if now >= a.list.planFrom {
+			a.list.expedite(now, a.cfg.RPS)
 		}
 		return
 	}
--- a/internal/autoscaler/tick.go
+++ b/internal/autoscaler/tick.go
@@ -40,8 +40,8 @@
 	a.Types(now, &term, out)
 	a.sendRetries(now, out)
 	a.releaseRetired(now, term, out)
-	if !a.list.inFlight && now-a.list.requestedAt >= listInterval && a.allowed(now) {
-		a.readList(now, "", out)
+	if a.list.due(now, a.cfg.RPS) && a.allowed(now) {
+		a.readList(now, out)
 	}
 	if now-a.scannedAt < scanInterval {
 		return
--- a/internal/simtest/cloud.go
+++ b/internal/simtest/cloud.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/url"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -41,7 +42,9 @@
 	last         int
 	down         bool
 	available    map[string]int // per type, zone and kind; absent: plenty
-	never        int            // so many of the next machines never boot
+	requests     budget
+	refused      int // requests beyond the rate
+	never        int // so many of the next machines never boot
 	returned     int
 }
 
@@ -95,6 +98,11 @@
 		answer(503, unavailable)
 		return
 	}
+	if !c.requests.take(c.w.now, c.w.cfg.Settings.Cloud.RPS, cloudBurst, 1) {
+		c.refused++
+		answer(429, nil)
+		return
+	}
 	u, err := url.Parse(target)
 	switch {
 	case err != nil:
@@ -102,7 +110,7 @@
 	case u.Path == "/machine_types":
 		answer(200, c.offered())
 	case u.Path == "/rentals" && method == "GET":
-		answer(200, c.list(u.Query().Get("from")))
+		answer(200, c.list(u.Query()))
 	case u.Path == "/rentals":
 		answer(c.provision(body))
 	case u.Path == "/rentals/return":
@@ -122,14 +130,22 @@
 	return offeredTypes{list}
 }
 
-// list shows the machines after a name, the youngest not yet.
-func (c *cloud) list(after string) machineList {
+// list shows a page of the machines after a name, the youngest not yet.
+func (c *cloud) list(q url.Values) machineList {
 	list := []listedMachine{}
+	after := q.Get("from")
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	if limit <= 0 || limit > maxListed {
+		limit = maxListed
+	}
 	for _, name := range slices.Sorted(maps.Keys(c.machines)) {
 		m := c.machines[name]
 		if name <= after || c.w.now-m.since < seconds(c.w.cfg.Settings.Cloud.ListLagS) {
 			continue
 		}
+		if len(list) == limit {
+			return machineList{Machines: list, HasNext: true}
+		}
 		list = append(list, listedMachine{Name: name, Addr: m.addr, MachineType: m.machineType, Zone: m.zone, Spot: m.spot,
 			Phase: m.phase(), Age: (c.w.now - m.since).Seconds()})
 	}
@@ -146,8 +162,12 @@
 	return "running"
 }
 
+// cloudBurst is how many seconds' worth of requests the cloud takes at once.
+const cloudBurst = 2
+
 // Limits of one request to the cloud.
 const (
+	maxListed      = 500
 	maxProvisioned = 50
 	maxReleased    = 100
 )
--- a/internal/simtest/commands.go
+++ b/internal/simtest/commands.go
@@ -63,6 +63,7 @@
 	number("report", "seconds between a worker's reports"),
 	number("lease", "seconds that a worker's lease lasts"),
 	number("cancel", "seconds that a cancellation may take"),
+	number("cloudrps", "the cloud's limit of requests per second"),
 	number("maxgpus", "the first team's limit of GPUs"),
 	number("rps", "the state service's limit of requests per second"),
 	number("writes", "the state service's limit of writes per second"),
--- a/internal/simtest/commands_jobs.go
+++ b/internal/simtest/commands_jobs.go
@@ -166,8 +166,12 @@
 	for range count {
 		id := ids[w.rng.IntN(len(ids))]
 		w.after(w.between(0, over), func() {
+			n := w.entryNode()
+			for !n.up {
+				n = w.entryNode() // the load balancer passes over it
+			}
 			asked := w.now
-			w.request("user", w.entryNode(), "GET", "/submissions/"+id, nil, pollTimeout, func(status int, body []byte) {
+			w.request("user", n, "GET", "/submissions/"+id, nil, pollTimeout, func(status int, body []byte) {
 				w.check.answered(asked, id, status, phaseIn(body))
 				w.check.polled(id, status)
 				if status == 200 {
--- a/internal/simtest/scenario_test.go
+++ b/internal/simtest/scenario_test.go
@@ -77,6 +77,7 @@
 		p.Settings.Workers.ReportS = a.num("report", "1")
 		p.Settings.Workers.LeaseS = a.num("lease", "10")
 		p.Settings.Workers.CancelS = a.num("cancel", "25")
+		p.Settings.Cloud.RPS = a.num("cloudrps", "4")
 		if most := a.num("maxgpus", "0"); most > 0 {
 			p.Settings.Teams[0].GPUsMax = most
 		}
--- a/internal/simtest/state.go
+++ b/internal/simtest/state.go
@@ -28,16 +28,21 @@
 	lowering
 }
 
-// budget is a rate with one second's burst.
+// stateBurst is how many seconds' worth of requests or writes may come at once.
+const stateBurst = 1
+
+// budget is a rate with bursts.
 type budget struct {
 	used float64
 	at   time.Duration
 }
 
-func (b *budget) take(now time.Duration, rate, n float64) bool {
+// take tells whether n more are allowed now; a burst is as many as come in that many
+// seconds at the rate.
+func (b *budget) take(now time.Duration, rate, burstSeconds, n float64) bool {
 	b.used = max(0, b.used-rate*(now-b.at).Seconds())
 	b.at = now
-	if b.used+n > rate {
+	if b.used+n > rate*burstSeconds {
 		return false
 	}
 	b.used += n
@@ -81,7 +86,7 @@
 		return
 	}
 	s.expire()
-	if !s.requests.take(s.w.now, s.limits().rps, 1) {
+	if !s.requests.take(s.w.now, s.limits().rps, stateBurst, 1) {
 		s.refused++
 		answer(429, nil)
 		return
@@ -208,7 +213,7 @@
 	if len(body) > maxTransaction || json.Unmarshal(body, &t) != nil || len(t.Then) > set.txnOps || len(t.If) > 4*set.txnOps {
 		return s.refuseSize("a transaction", "a transaction over its limits: %d ops, %d conditions, %d bytes", len(t.Then), len(t.If), len(body))
 	}
-	if !s.writes.take(s.w.now, set.writeRPS, float64(len(t.Then))) {
+	if !s.writes.take(s.w.now, set.writeRPS, stateBurst, float64(len(t.Then))) {
 		s.refused++
 		return 429, nil
 	}
