Rounds and plans at four thousand machines; probes of an array take turns

Change: only machines with capacity for the least that any waiting job asks for are looked at to place a task; a reservation for a single task looks at machines in the order in which capacity comes free and stops where none can be sooner; a plan frees what ends once for all jobs whose machines boot as fast; the first open task of an array is not searched from its beginning for each that is placed.

An array of which one task fails everywhere while others would work (open point): the probe was always the first open task.

--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -18,6 +18,7 @@
 	scheduler  *scheduler.Scheduler
 	capacities []*scheduler.Capacity       // of machines that are up, booting or asked for; nil where the type is not known
 	coming     map[int]*scheduler.Capacity // those of booting machines, by machine
+	released   float64                     // what ends within so many seconds has freed its capacity
 	preempting []*pipeline.Entry           // tasks that are being stopped
 	preempted  map[*pipeline.Job]int       // how many of them a job has: they need capacity again
 	committed  map[int]pipeline.Usage      // by team: what this plan provides for
@@ -104,8 +105,13 @@
 
 // withPreempted adds the jobs with preempted tasks behind those that are blocked.
 func (p *plan) withPreempted(blocked []*pipeline.Job) []*pipeline.Job {
+	listed := make(map[*pipeline.Job]bool, len(blocked))
+	for _, job := range blocked {
+		listed[job] = true
+	}
 	for _, entry := range p.preempting {
-		if !slices.Contains(blocked, entry.Job) {
+		if !listed[entry.Job] {
+			listed[entry.Job] = true
 			blocked = append(blocked, entry.Job)
 		}
 	}
@@ -122,11 +128,7 @@
 	left += p.preempted[job]
 	boot := p.bootTime(job)
 	left = p.sequences.places(job, left, boot+p.cfg.IdleKeep.Seconds(), p.workers.ExpectedRuntime(job))
-	for _, capacity := range p.capacities {
-		if capacity != nil {
-			capacity.ReleaseEnding(boot)
-		}
-	}
+	p.releaseEnding(boot)
 	inZone := p.scheduler.Zones(job)
 	zone, ok := p.onlyZone(job, inZone, left)
 	if !ok {
@@ -136,6 +138,19 @@
 	p.addMachines(job, left, inZone, zone)
 }
 
+// releaseEnding frees the capacity of tasks that end within so many seconds.
+func (p *plan) releaseEnding(within float64) {
+	if within <= p.released {
+		return // an earlier job's machines take as long
+	}
+	p.released = within
+	for _, capacity := range p.capacities {
+		if capacity != nil {
+			capacity.ReleaseEnding(within)
+		}
+	}
+}
+
 // tasksWithinQuota returns how many tasks of a job wait for capacity that its team's
 // limit lets them have, beside what the plan provides for the team's other jobs. ok
 // is false where the job is to get nothing.
--- a/internal/pipeline/entries.go
+++ b/internal/pipeline/entries.go
@@ -94,6 +94,7 @@
 // remove counts an entry no more; its chunk no longer lists it.
 func (t *Table) remove(e *Entry) {
 	e.Job.active--
+	e.Job.reopened(e.Task)
 	if e.Pending == PendingDone {
 		e.Job.pendingDone--
 	}
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -214,6 +214,7 @@
 	Stopping        bool         // gang: its attempt is being ended
 	WithinGuarantee bool         // it fits in its team's guarantee
 	ReservedZone    int          // 1 + the zone where capacity is gathered for it, 0: none
+	openFrom        int          // no task below it waits to be placed
 	doneUnlogged    map[int]bool // completed tasks that have no entry to mark as done
 }
 
@@ -287,6 +288,38 @@
 	return !j.IsDone(task) && j.Entry(task) == nil && !j.doneUnlogged[task]
 }
 
+// NextOpen returns the first task from a number on that waits to be placed, TaskCount
+// if there is none. What it has passed over is not looked at again until it opens, so
+// that an array is not walked over from its first task for each one that is placed.
+func (j *Job) NextOpen(from int) int {
+	task := max(from, j.openFrom)
+	for task < j.TaskCount && !j.Open(task) {
+		task++
+	}
+	if from <= j.openFrom {
+		j.openFrom = task
+	}
+	return task
+}
+
+// ProbeTask returns the open task that tries again after a failure of the job itself:
+// the open ones take turns, as only some of them may fail. It is TaskCount if there
+// is none.
+func (j *Job) ProbeTask() int {
+	open := j.OpenCount()
+	if open == 0 {
+		return j.TaskCount
+	}
+	task := j.NextOpen(0)
+	for range j.Failures() % open {
+		task = j.NextOpen(task + 1)
+	}
+	return task
+}
+
+// reopened notes that a task may wait to be placed again.
+func (j *Job) reopened(task int) { j.openFrom = min(j.openFrom, task) }
+
 // OpenCount counts the tasks that wait to be placed.
 func (j *Job) OpenCount() int {
 	return max(0, j.TaskCount-j.done-j.active-len(j.doneUnlogged))
--- a/internal/pipeline/retry_test.go
+++ b/internal/pipeline/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -187,3 +188,55 @@
 		t.Error("the record is still there")
 	}
 }
+
+// An array of which some tasks fail everywhere: its probes take turns over the open
+// tasks, so that one that works is found and the job goes on.
+func TestProbesTakeTurns(t *testing.T) {
+	tb, j := newJob(t, 5)
+	tb.MarkDone(j, 1) // never tried again
+	for _, machine := range []int{0, 1} {
+		e := tb.Place(j, 0, machine, 0, 1)
+		tb.TaskFailed(e, time.Second)
+		tb.Clear(e)
+	}
+	var tried []int
+	for range 5 {
+		task := j.ProbeTask()
+		tried = append(tried, task)
+		probe := tb.Place(j, task, 2, 0, 1)
+		tb.TaskFailed(probe, time.Second)
+		tb.Clear(probe)
+	}
+	if fmt.Sprint(tried) != "[2 3 4 0 2]" {
+		t.Errorf("tried: %v", tried)
+	}
+}
+
+// The first open task is found from where the last one was, whatever became of the
+// tasks in between.
+func TestNextOpen(t *testing.T) {
+	tb, j := newJob(t, 40)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for step := range 2000 {
+		task := rng.IntN(j.TaskCount)
+		entry := j.Entry(task)
+		switch {
+		case entry != nil:
+			tb.Clear(entry)
+		case j.Open(task) && rng.IntN(20) > 0:
+			tb.Place(j, task, 0, 0, 1)
+		case rng.IntN(100) == 0:
+			tb.MarkDone(j, task)
+		}
+		want := 0
+		for want < j.TaskCount && !j.Open(want) {
+			want++
+		}
+		if got := j.NextOpen(0); got != want {
+			t.Fatalf("step %d: task %d, not %d", step, got, want)
+		}
+		if step%500 == 499 {
+			tb.Reset()
+		}
+	}
+}
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -62,6 +62,7 @@
 func (s *Scheduler) choose(job *pipeline.Job, capacities []*Capacity, zone, count int, price pricing, now event.Time) []pick {
 	taken := taken{}
 	list := s.scratch.offers[:0]
+	s.Visited += len(capacities)
 	for i, capacity := range capacities {
 		if !mayChoose(job, capacity, zone, now) {
 			continue
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -16,12 +16,12 @@
 
 // place puts as many tasks of a job as it may on machines. A gang runs whole or not
 // at all, but the rest of one that has begun comes as its places come free.
-func (s *Scheduler) place(job *pipeline.Job, capacities []*Capacity, now event.Time) {
+func (s *Scheduler) place(job *pipeline.Job, now event.Time) {
 	wanted := s.wantedTasks(job)
 	if wanted == 0 {
 		return
 	}
-	candidates := s.rankCapacities(job, capacities, now)
+	candidates := s.rankCapacities(job, now)
 	if len(candidates) == 0 {
 		return
 	}
@@ -52,13 +52,14 @@
 }
 
 // rankCapacities lists the machines on which a task fits, the most suitable first.
-func (s *Scheduler) rankCapacities(job *pipeline.Job, capacities []*Capacity, now event.Time) []*Capacity {
+func (s *Scheduler) rankCapacities(job *pipeline.Job, now event.Time) []*Capacity {
 	type scored struct {
 		capacity *Capacity
 		score    float64
 	}
 	var list []scored
-	for _, capacity := range capacities {
+	s.Visited += len(s.round.roomy)
+	for _, capacity := range s.round.roomy {
 		if capacity.Fits(&job.Spec) > 0 && capacity.accepts(job, int64(now)) {
 			list = append(list, scored{capacity, s.score(job, capacity, now)})
 		}
@@ -106,11 +107,11 @@
 // placeTasks places open tasks of a job on a machine.
 func (s *Scheduler) placeTasks(job *pipeline.Job, placement placement, attempt uint64, now event.Time) {
 	placement.capacity.Allocate(&job.Spec, placement.tasks)
-	left := placement.tasks
-	for task := 0; left > 0; task++ {
-		if job.Open(task) {
-			s.Jobs.Place(job, task, placement.capacity.Machine.Index, attempt, int64(now))
-			left--
+	for range placement.tasks {
+		task := job.NextOpen(0)
+		if job.AtFault() && job.Shape != pipeline.Gang {
+			task = job.ProbeTask()
 		}
+		s.Jobs.Place(job, task, placement.capacity.Machine.Index, attempt, int64(now))
 	}
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"lugward/internal/event"
 	"lugward/internal/pipeline"
@@ -45,7 +47,12 @@
 	bestZone = anyZone
 	reserved, hasReserved := reservedZone(job)
 	for _, zone := range s.zonesToTry(job, capacities) {
-		picks := s.choose(job, capacities, zone, count, price, now)
+		var picks []pick
+		if count == 1 {
+			picks = s.soonestOne(job, capacities, zone, now)
+		} else {
+			picks = s.choose(job, capacities, zone, count, price, now)
+		}
 		if len(picks) == 0 {
 			continue
 		}
@@ -61,6 +68,68 @@
 	return best, bestZone
 }
 
+// freeing is a machine with the seconds after which capacity comes free there first:
+// no task that is waiting fits sooner.
+type freeing struct {
+	capacity *Capacity
+	after    float64
+	index    int // of the machine among the others, so that equal ones keep an order
+}
+
+// listBySoonest lists the machines by when capacity comes free first.
+func (s *Scheduler) listBySoonest(capacities []*Capacity, now event.Time) []freeing {
+	roomy := make(map[*Capacity]bool, len(s.round.roomy))
+	for _, capacity := range s.round.roomy {
+		roomy[capacity] = true
+	}
+	list := make([]freeing, 0, len(capacities))
+	for i, capacity := range capacities {
+		if !capacity.endingsListed {
+			s.listEndings(capacity, now)
+		}
+		switch {
+		case roomy[capacity]:
+			list = append(list, freeing{capacity, 0, i})
+		case len(capacity.endings) > 0:
+			list = append(list, freeing{capacity, capacity.endings[0].after, i})
+		}
+	}
+	slices.SortFunc(list, freeing.compare)
+	return list
+}
+
+func (f freeing) compare(other freeing) int {
+	return cmp.Or(cmp.Compare(f.after, other.after), cmp.Compare(f.index, other.index))
+}
+
+// soonestOne picks the capacity that will be free first for a single task, as choose
+// would among all machines, and looks no further than at those that may be the one.
+func (s *Scheduler) soonestOne(job *pipeline.Job, capacities []*Capacity, zone int, now event.Time) []pick {
+	if s.round.bySoonest == nil {
+		s.round.bySoonest = s.listBySoonest(capacities, now)
+	}
+	inZone := s.Zones(job)
+	var best freeing
+	for _, candidate := range s.round.bySoonest {
+		if best.capacity != nil && candidate.compare(best) > 0 {
+			break
+		}
+		s.Visited++
+		capacity := candidate.capacity
+		if !mayChoose(job, capacity, zone, now) || ZoneCapacity(job, inZone, capacity.Zone) <= 0 {
+			continue
+		}
+		found := freeing{capacity, s.fitsAfter(job, capacity, now), candidate.index}
+		if !math.IsInf(found.after, 1) && (best.capacity == nil || found.compare(best) < 0) {
+			best = found
+		}
+	}
+	if best.capacity == nil {
+		return nil
+	}
+	return []pick{{capacity: best.capacity, cost: best.after}}
+}
+
 // lastCost is the cost of the last pick. Where there are fewer than wanted, for want
 // of machines, it is beyond all real costs, and least where there are the most.
 func lastCost(picks []pick, wanted int) float64 {
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 
 	"lugward/internal/event"
@@ -25,6 +26,8 @@
 	jobs := slices.DeleteFunc(unfinished, func(job *pipeline.Job) bool { return !job.Waits(int64(now)) })
 	order(jobs, now)
 	start := s.startRound(jobs, capacities)
+	s.round.roomy = roomyCapacities(jobs, capacities)
+	s.round.bySoonest = nil
 	if start == 0 {
 		s.beginStarving(jobs, capacities, now)
 	}
@@ -55,6 +58,28 @@
 	return start
 }
 
+// roomyCapacities lists the machines with capacity for the least that any of the jobs
+// asks for of each resource: in a full site these are few, and only they are looked at
+// to place a task.
+func roomyCapacities(jobs []*pipeline.Job, capacities []*Capacity) []*Capacity {
+	if len(jobs) == 0 {
+		return nil
+	}
+	least := pipeline.Spec{CPUs: math.Inf(1), GPUs: math.Inf(1), Memory: math.Inf(1)}
+	for _, job := range jobs {
+		least.CPUs = min(least.CPUs, job.CPUs)
+		least.GPUs = min(least.GPUs, job.GPUs)
+		least.Memory = min(least.Memory, job.Memory)
+	}
+	var roomy []*Capacity
+	for _, capacity := range capacities {
+		if capacity.Fits(&least) > 0 {
+			roomy = append(roomy, capacity)
+		}
+	}
+	return roomy
+}
+
 // keepReservations allocates what an interrupted round reserved.
 func (s *Scheduler) keepReservations(capacities []*Capacity) {
 	byMachine := make(map[*worker.Machine]*Capacity, len(capacities))
@@ -80,7 +105,7 @@
 			s.Interrupted++
 			return
 		}
-		s.place(job, capacities, now)
+		s.place(job, now)
 		if job.StartableCount() > 0 {
 			left := s.preempt(job, capacities, now)
 			s.reserve(job, left, capacities, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -22,6 +22,8 @@
 	Interrupted int
 	// Recounted counts the machines whose capacity was counted anew.
 	Recounted int
+	// Visited counts the machines that were looked at for a job.
+	Visited int
 	// OverBudget tells whether the budget of a round is used up; nil: no limit.
 	OverBudget func() bool
 
@@ -35,6 +37,8 @@
 type roundState struct {
 	resume         *pipeline.Job          // where the last round ran out of time
 	reservations   []reservation          // by the jobs before resume
+	roomy          []*Capacity            // on which a task of some job fits; capacity only shrinks in a round
+	bySoonest      []freeing              // the machines by when capacity comes free first, nil: not listed yet
 	reserved       int                    // tasks with a reservation in this round
 	lowestPriority pipeline.Priority      // of what runs
 	preempting     map[int]pipeline.Usage // by team: what this round stops
--- a/internal/scheduler/starving.go
+++ b/internal/scheduler/starving.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		begun++
-		if !s.placeOne(job, capacities, now) {
+		if !s.placeOne(job, now) {
 			s.reserve(job, 1, capacities, now)
 		}
 	}
@@ -58,8 +58,8 @@
 
 // placeOne places a single task of a job that is no gang. It tells whether there
 // was capacity for it.
-func (s *Scheduler) placeOne(job *pipeline.Job, capacities []*Capacity, now event.Time) bool {
-	for _, capacity := range s.rankCapacities(job, capacities, now) {
+func (s *Scheduler) placeOne(job *pipeline.Job, now event.Time) bool {
+	for _, capacity := range s.rankCapacities(job, now) {
 		if ZoneCapacity(job, s.Zones(job), capacity.Zone) > 0 {
 			s.placeTasks(job, placement{capacity, 1}, nextAttempt(job), now)
 			return true
--- a/internal/simtest/commands_inspect.go
+++ b/internal/simtest/commands_inspect.go
@@ -19,6 +19,7 @@
 	"machines":      {"prints the machines that the cloud has provisioned and not taken back, by type", nil, show(machinesByType)},
 	"keys":          {"prints keys and values of the state service", []argument{need(text("prefix", "of the keys"))}, show(func(w *World, a Args) string { return strings.Join(w.Keys(a["prefix"]), "\n") })},
 	"job_machines":  {"prints the number of machines that a job's tasks are on, and how many are slow", onlyID, show(machinesOfJob)},
+	"completed":     {"prints the number of a job's tasks that have completed", onlyID, completedTasks},
 	"running_tasks": {"prints the number of a job's tasks that are on machines", onlyID, show(runningTasks)},
 	"acknowledged":  {"prints the phase of a job that was last acknowledged", onlyID, show(func(w *World, a Args) string { return w.check.acknowledged[a["id"]] })},
 	"leads":         {"prints the leader", nil, show(leaderName)},
@@ -105,6 +106,14 @@
 
 func runningTasks(w *World, a Args) string { return strconv.Itoa(len(w.tasksOf(a["id"]))) }
 
+func completedTasks(w *World, a Args, _ string) (string, error) {
+	j := w.jobs[a["id"]]
+	if j == nil {
+		return "", errors.New("the job was not submitted")
+	}
+	return strconv.Itoa(len(j.complete)), nil
+}
+
 func leaderName(w *World, _ Args) string {
 	if l := w.Leader(); l != nil {
 		return l.name
--- a/internal/simtest/commands_jobs.go
+++ b/internal/simtest/commands_jobs.go
@@ -25,6 +25,7 @@
 	boolean("scatter", "at most half of the tasks run in one zone"),
 	boolean("spot", "may run on spot machines"),
 	boolean("broken", "every task fails on every machine; any shape may be broken"),
+	number("broken_task", "number of the only task that fails on every machine"),
 	duration("run", "what each task takes, 5s if absent"),
 	text("image_name", "name of the image"),
 	duration("image", "time to fetch the image, 1s if absent"),
--- a/internal/simtest/job.go
+++ b/internal/simtest/job.go
@@ -21,6 +21,7 @@
 	run                time.Duration
 	image              time.Duration
 	broken             bool // fails on every machine
+	brokenTask         int  // 1 + the number of the only task that fails on every machine, 0: none
 	attempts           int  // starts that workers executed
 	stopped            int  // tasks stopped by a command while the job was neither finished nor cancelled
 	progress           map[int]time.Duration
@@ -32,6 +33,9 @@
 	mustRefuse         int      // the status with which it must be refused, 0: it can run
 }
 
+// breaks tells whether a task of the job fails on every machine.
+func (j *job) breaks(index int) bool { return j.broken || index+1 == j.brokenTask }
+
 func (j *job) begin(now time.Duration) {
 	if j.began == 0 {
 		j.began = now
--- a/internal/simtest/task.go
+++ b/internal/simtest/task.go
@@ -111,7 +111,7 @@
 const failureDelay = 300 * time.Millisecond
 
 // fails tells whether a task can only fail: because of its job or its machine.
-func (t *task) fails() bool { return t.job.broken || t.on.faulty }
+func (t *task) fails() bool { return t.job.breaks(t.index) || t.on.faulty }
 
 // failSoon lets a running task exit with an error.
 func (k *worker) failSoon(t *task) {
--- a/internal/simtest/users.go
+++ b/internal/simtest/users.go
@@ -32,6 +32,7 @@
 	}
 	j.zone = a["zone"]
 	j.sameZone, j.scatter, j.allowSpot, j.broken = a.flag("same_zone"), a.flag("scatter"), a.flag("spot"), a.flag("broken")
+	j.brokenTask = 1 + int(a.num("broken_task", "-1"))
 	j.run, j.image = a.dur("run", "5s"), a.dur("image", "1s")
 	j.checkpointInterval, j.checkpointDuration = a.dur("checkpoint", "0s"), a.dur("checkpoint_cost", "1s")
 	request := submission{ID: id, Class: j.class, Team: j.team, Shape: j.shape, Priority: a.or("priority", "normal"), TaskCount: j.taskCount,
--- a/internal/simtest/waiting.go
+++ b/internal/simtest/waiting.go
@@ -128,7 +128,7 @@
 	}
 	need := 0
 	for i := range j.taskCount {
-		if !held[i] && !j.complete[i] {
+		if !held[i] && !j.complete[i] && !j.breaks(i) {
 			need++
 		}
 	}
