Settings that can't carry the site are refused; a gang that fits nowhere keeps nothing

Fewer connections than the controllers need among themselves, rates with which no term can begin, values too small for one record: refused at start in one line with the key, its value and what is needed (TestLimitsCarryTheSite). The samples in the tests of settings and of the command had such limits (10 connections, one write a second, one write a transaction); they are larger now, what is asserted of them is the same.

--- a/cmd/lugward/main_test.go
+++ b/cmd/lugward/main_test.go
@@ -23,7 +23,7 @@
 
 const settings = `{"label":"a","bind":"127.0.0.1:1","peer_bind":"127.0.0.1:2","services":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},
 "settings":{"workers":{"report_s":1,"lease_s":30,"gang_wait_s":1,"gang_peer_s":1,"cancel_s":60},
-"state":{"rps":1,"write_rps":1,"value_kb":1,"txn_ops":1},"cloud":{"rps":1},"resources":{"core_share":0.1,"ram_mb":50,"max_connections":10}}}`
+"state":{"rps":8,"write_rps":4,"value_kb":1,"txn_ops":8},"cloud":{"rps":1},"resources":{"core_share":0.1,"ram_mb":50,"max_connections":40}}}`
 
 func writeFile(t *testing.T, name, text string) string {
 	t.Helper()
@@ -64,7 +64,7 @@
 // one line that says what is wrong where.
 func TestBadInput(t *testing.T) {
 	good := writeFile(t, "settings.json", settings)
-	bad := writeFile(t, "bad.json", strings.Replace(settings, `"rps":1`, `"rps":"x"`, 1))
+	bad := writeFile(t, "bad.json", strings.Replace(settings, `"rps":8`, `"rps":"x"`, 1))
 	operator := writeFile(t, "bad.toml", "[term]\nlife = 5\n")
 	for _, c := range []struct {
 		environment string
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -15,6 +15,7 @@
 		p.checkAddresses,
 		p.checkAmounts,
 		p.Settings.State.checkNext,
+		p.checkLimits,
 		p.checkTimes,
 		p.checkObjectives,
 		p.checkTeams,
@@ -114,6 +115,53 @@
 	return checkPositive(given)
 }
 
+// What the limits must allow for the service to work at all.
+const (
+	// connectionsPerPeer are our link to another controller and its link to us.
+	connectionsPerPeer = 2
+	// otherConnections are those to the state service (two transactions, a watch, a
+	// barrier and a lease at a time), to the cloud, and a few for workers and users.
+	otherConnections = 16
+	// minValueKB holds a job's record, or the run record of the fewest tasks that
+	// share one.
+	minValueKB = 1
+	// A term begins with two writes at once, and rates allow a second's worth.
+	minTxnOps   = 2
+	minWriteRPS = 2
+)
+
+// checkLimits refuses limits with which the service could never do its work.
+func (p *Platform) checkLimits() error {
+	state := &p.Settings.State
+	lasting := state.Lasting()
+	controllers := len(p.Seeds) + 1
+	connections := connectionsPerPeer*len(p.Seeds) + otherConnections
+	// Either the present limit or the announced one may be too small.
+	stateKey := func(name string, present, lasting float64) string {
+		if lasting < present {
+			return "settings.state.next." + name
+		}
+		return "settings.state." + name
+	}
+	for _, limit := range []struct {
+		key     string
+		value   float64
+		least   float64
+		purpose string
+	}{
+		{"settings.resources.max_connections", float64(p.Settings.Resources.MaxConnections), float64(connections), fmt.Sprintf("%d controllers, their services, workers and users", controllers)},
+		{stateKey("rps", state.RPS, lasting.RPS), lasting.RPS, float64(controllers), fmt.Sprintf("one request a second of each of %d controllers", controllers)},
+		{stateKey("write_rps", state.WriteRPS, lasting.WriteRPS), lasting.WriteRPS, minWriteRPS, "the writes that begin a term"},
+		{stateKey("value_kb", state.ValueKB, lasting.ValueKB), lasting.ValueKB, minValueKB, "one record"},
+		{stateKey("txn_ops", float64(state.TxnOps), float64(lasting.TxnOps)), float64(lasting.TxnOps), minTxnOps, "the writes that begin a term"},
+	} {
+		if limit.value < limit.least {
+			return fmt.Errorf("%s is %v: at least %v are needed for %s", limit.key, limit.value, limit.least, limit.purpose)
+		}
+	}
+	return nil
+}
+
 func (p *Platform) checkTimes() error {
 	if p.Settings.Cloud.ListLagS < 0 {
 		return errors.New("settings.cloud.list_lag_s must not be negative")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,8 +9,8 @@
 
 const good = `{"label":"a","bind":"10.0.0.1:80","peer_bind":"10.0.0.1:81","seeds":[{"label":"b","endpoint":"10.0.0.2:81"}],"new":1,
 "services":{"cloud":"10.0.1.1:1","state":"10.0.1.2:1"},"settings":{"teams":[{"name":"t"}],
-"workers":{"report_s":1,"lease_s":30,"gang_wait_s":1,"gang_peer_s":1,"cancel_s":60},"state":{"rps":1,"write_rps":1,"value_kb":1,"txn_ops":1},
-"cloud":{"rps":1,"list_lag_s":0},"resources":{"core_share":0.1,"ram_mb":50,"max_connections":10}}}`
+"workers":{"report_s":1,"lease_s":30,"gang_wait_s":1,"gang_peer_s":1,"cancel_s":60},"state":{"rps":8,"write_rps":4,"value_kb":4,"txn_ops":8},
+"cloud":{"rps":1,"list_lag_s":0},"resources":{"core_share":0.1,"ram_mb":50,"max_connections":40}}}`
 
 // TestPlatform: a bad value is refused by its key and what is expected there.
 func TestPlatform(t *testing.T) {
@@ -21,12 +21,12 @@
 		{`"label":"a"`, `"label":""`, "label is missing"},
 		{`10.0.0.1:80"`, `localhost:80"`, "bind"},
 		{`"label":"b"`, `"label":"a"`, "seeds"},
-		{`"txn_ops":1`, `"txn_ops":0`, "state.txn_ops"},
+		{`"txn_ops":8`, `"txn_ops":0`, "state.txn_ops"},
 		{`"cancel_s":60`, `"cancel_s":20`, "cancel_s"},
 		{`{"name":"t"}`, `{"name":"t","gpus":-1}`, "team"},
-		{`"rps":1`, `"rps":"x"`, "settings.state.rps: expected a number, found string"},
+		{`"rps":8`, `"rps":"x"`, "settings.state.rps: expected a number, found string"},
 		{`"label":"a"`, `"label":5`, "label: expected a string"},
-		{`"txn_ops":1`, `"txn_ops":1.5`, "txn_ops: expected an integer"},
+		{`"txn_ops":8`, `"txn_ops":1.5`, "txn_ops: expected an integer"},
 		{`"seeds":[`, `"seeds":5,"x":[`, "seeds: expected a list"},
 		{`"services":{`, `"services":5,"x":{`, "services: expected an object"},
 		{good, `[]`, "the file: expected an object, found array"},
@@ -39,19 +39,41 @@
 	}
 }
 
+// TestLimitsCarryTheSite: limits with which no term could begin, or no record be
+// stored, are refused at start with the key, its value and what is needed.
+func TestLimitsCarryTheSite(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"max_connections":40`, `"max_connections":17`, "settings.resources.max_connections is 17: at least 18 are needed for 2 controllers, their services, workers and users"},
+		{`"rps":8`, `"rps":1.5`, "settings.state.rps is 1.5: at least 2 are needed for one request a second of each of 2 controllers"},
+		{`"write_rps":4`, `"write_rps":1.9`, "settings.state.write_rps is 1.9: at least 2 are needed for the writes that begin a term"},
+		{`"value_kb":4`, `"value_kb":0.5`, "settings.state.value_kb is 0.5: at least 1 are needed for one record"},
+		{`"txn_ops":8`, `"txn_ops":1`, "settings.state.txn_ops is 1: at least 2 are needed for the writes that begin a term"},
+		{`"txn_ops":8`, `"txn_ops":8,"next":{"txn_ops":1}`, "settings.state.next.txn_ops is 1: at least 2 are needed for the writes that begin a term"},
+		{`"value_kb":4`, `"value_kb":4,"next":{"value_kb":0.9}`, "settings.state.next.value_kb is 0.9: at least 1 are needed for one record"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if err == nil || err.Error() != c.want {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := Parse([]byte(strings.Replace(good, `"max_connections":40`, `"max_connections":18`, 1))); err != nil {
+		t.Errorf("just enough connections: %v", err)
+	}
+}
+
 // TestStateNext: the smaller of both limits count; nonsense is refused by name.
 func TestStateNext(t *testing.T) {
 	with := func(next string) (*Platform, error) {
-		return Parse([]byte(strings.Replace(good, `"txn_ops":1}`, `"txn_ops":12`+next+`}`, 1)))
+		return Parse([]byte(strings.Replace(good, `"txn_ops":8}`, `"txn_ops":12`+next+`}`, 1)))
 	}
 	for next, want := range map[string]StateLimits{
-		``:                                   {RPS: 1, WriteRPS: 1, ValueKB: 1, TxnOps: 12},
-		`,"next":null`:                       {RPS: 1, WriteRPS: 1, ValueKB: 1, TxnOps: 12},
-		`,"next":{}`:                         {RPS: 1, WriteRPS: 1, ValueKB: 1, TxnOps: 12},
-		`,"next":{"txn_ops":4,"rps":null}`:   {RPS: 1, WriteRPS: 1, ValueKB: 1, TxnOps: 4},
-		`,"next":{"txn_ops":20,"rps":0.5}`:   {RPS: 0.5, WriteRPS: 1, ValueKB: 1, TxnOps: 12},
-		`,"next":{"value_kb":0.5,"later":1}`: {RPS: 1, WriteRPS: 1, ValueKB: 0.5, TxnOps: 12},
-		`,"next":{"write_rps":0.25}`:         {RPS: 1, WriteRPS: 0.25, ValueKB: 1, TxnOps: 12},
+		``:                                   {RPS: 8, WriteRPS: 4, ValueKB: 4, TxnOps: 12},
+		`,"next":null`:                       {RPS: 8, WriteRPS: 4, ValueKB: 4, TxnOps: 12},
+		`,"next":{}`:                         {RPS: 8, WriteRPS: 4, ValueKB: 4, TxnOps: 12},
+		`,"next":{"txn_ops":4,"rps":null}`:   {RPS: 8, WriteRPS: 4, ValueKB: 4, TxnOps: 4},
+		`,"next":{"txn_ops":20,"rps":2.5}`:   {RPS: 2.5, WriteRPS: 4, ValueKB: 4, TxnOps: 12},
+		`,"next":{"value_kb":1.5,"later":1}`: {RPS: 8, WriteRPS: 4, ValueKB: 1.5, TxnOps: 12},
+		`,"next":{"write_rps":2.25}`:         {RPS: 8, WriteRPS: 2.25, ValueKB: 4, TxnOps: 12},
 	} {
 		p, err := with(next)
 		if err != nil {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -25,6 +25,9 @@
 		left = min(left, maxReservations-s.round.reserved)
 	}
 	picks, zone := s.soonestCapacity(job, left, capacities, now)
+	if job.IsGang() && job.Active() == 0 && len(picks) < left {
+		return // however long it waits for what is up: others may use that
+	}
 	if zone != anyZone && len(picks) == left {
 		setReservedZone(job, zone)
 	}
