What is kept of machines is bounded by how many there are at a time

The fencing token is announced to as many machines at a time as a part of the sockets allows, and those that answer free theirs at once: 4,000 hear of it within 5 s, where 20 each half second took 100 s (TestAnnouncements).

--- /dev/null
+++ b/internal/autoscaler/announce_test.go
@@ -0,0 +1,62 @@
+package autoscaler
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"lugward/internal/event"
+	"lugward/internal/pipeline"
+	"lugward/internal/store"
+	"lugward/internal/worker"
+)
+
+// leading is a leader that has always led.
+type leading struct{}
+
+func (leading) FencingToken() uint64                     { return 5 }
+func (leading) MayStart(event.Time) bool                 { return true }
+func (leading) ObserveToken(uint64)                      {}
+func (leading) WorkerLease() time.Duration               { return 30 * time.Second }
+func (leading) TasksExpireAt(last event.Time) event.Time { return last + 32*time.Second }
+
+// Four thousand machines that answer an isolated leader hear of the next one within
+// seconds, and at most a small part of all sockets is used for it at a time: those
+// that answer free theirs at once. Twenty every half second took 100 s.
+func TestAnnouncements(t *testing.T) {
+	const machines, sockets, limit = 4000, 1600, 50
+	names := &pipeline.Names{}
+	jobs := pipeline.NewTable(names, 4096, 12)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	workers := worker.New(names, jobs, log)
+	client := store.New("state", store.Limits{TxnOps: 12, RPS: 100, WriteRPS: 60}, func(string, []byte, uint64) {})
+	a := New(Config{Addr: "cloud", RPS: 100, MaxConnections: sockets, IdleKeep: time.Hour, Settle: time.Hour}, names, jobs, workers, client, log)
+	now := time.Second
+	for i := range machines {
+		machine := workers.Machine(fmt.Sprintf("i-%d", i), now)
+		machine.Addr = fmt.Sprintf("10.1.0.1:%d", i)
+		machine.LastReport = now
+		machine.Describe(0, i%3, false)
+	}
+	now += 3 * time.Second
+	told := map[string]int{}
+	for range 100 {
+		var out event.Effects
+		a.Tick(now, leading{}, store.Condition{}, time.Hour, &out)
+		if workers.Announcing() > limit {
+			t.Fatalf("%d announcements at a time", workers.Announcing())
+		}
+		for _, call := range out.Calls {
+			if call.Path == "/do" {
+				told[call.Addr]++
+				workers.CallDone(event.CallDone{ID: call.ID, Status: event.StatusOK, Body: []byte("{}")}, leading{}, &out)
+			}
+		}
+		now += 50 * time.Millisecond
+	}
+	if len(told) != machines || workers.Announcing() != 0 {
+		t.Errorf("%d of %d machines told within 5 s, %d announcements in flight", len(told), machines, workers.Announcing())
+	}
+}
--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -23,12 +23,13 @@
 
 // Config are the settings of the autoscaler.
 type Config struct {
-	ValueBytes int           // the largest value that the state service accepts
-	Addr       string        // of the cloud
-	RPS        float64       // requests that the cloud accepts per second
-	ListLag    time.Duration // by which the cloud's machine list may be out of date
-	IdleKeep   time.Duration // an idle machine is kept for this long
-	Settle     time.Duration // after a term begins nothing is released for this long
+	ValueBytes     int           // the largest value that the state service accepts
+	Addr           string        // of the cloud
+	RPS            float64       // requests that the cloud accepts per second
+	ListLag        time.Duration // by which the cloud's machine list may be out of date
+	MaxConnections int           // sockets of this controller
+	IdleKeep       time.Duration // an idle machine is kept for this long
+	Settle         time.Duration // after a term begins nothing is released for this long
 }
 
 // Autoscaler provisions and releases the machines of the cloud. All nodes follow
@@ -46,16 +47,17 @@
 	// Replan is set when a response calls for another plan at once.
 	Replan bool
 
-	types        typeRefresh
-	cloud        cloudClient
-	list         listProgress
-	provisioning provisioning
-	retirements  retirements
-	booting      map[int]*bootingMachine // by machine
-	boots        map[int]*bootHistory    // by machine type
-	partitioned  map[int]bool            // zones most of whose machines are silent
-	termBeganAt  event.Time
-	scannedAt    event.Time // when all machines were last looked at
+	types             typeRefresh
+	cloud             cloudClient
+	list              listProgress
+	provisioning      provisioning
+	retirements       retirements
+	booting           map[int]*bootingMachine // by machine
+	boots             map[int]*bootHistory    // by machine type
+	partitioned       map[int]bool            // zones most of whose machines are silent
+	termBeganAt       event.Time
+	announcementsLeft bool       // machines wait for an announcement of our fencing token
+	scannedAt         event.Time // when all machines were last looked at
 }
 
 // New returns an autoscaler that knows no machine types yet.
@@ -83,6 +85,7 @@
 	a.retirements.reset()
 	a.booting = map[int]*bootingMachine{}
 	a.partitioned = nil
+	a.announcementsLeft = false
 	a.scannedAt = 0
 }
 
@@ -118,6 +121,9 @@
 	return ok
 }
 
+// IsBooting tells whether a machine is waited for, by its index.
+func (a *Autoscaler) IsBooting(machine int) bool { return a.booting[machine] != nil }
+
 // HasSilentMachines tells whether the cloud lists a machine as running that has not
 // reported to us.
 func (a *Autoscaler) HasSilentMachines() bool {
--- a/internal/autoscaler/tick.go
+++ b/internal/autoscaler/tick.go
@@ -19,19 +19,21 @@
 	partitionedTimeout = 150 * time.Second
 	// A machine that is up and has not confirmed our fencing token after
 	// announceAfter gets it by a direct command. The connection to a silent
-	// machine stays open for a while, so a scan sends a limited number.
-	announceAfter    = 2 * time.Second
-	maxAnnouncements = 20
+	// machine stays open for a while, so only one in announcementDivisor of all
+	// sockets may be used for that at a time, and minAnnouncements at least: those
+	// that answer free theirs at once, and the next tick goes on.
+	announceAfter       = 2 * time.Second
+	announcementDivisor = 32
+	minAnnouncements    = 20
 )
 
 // scan is one look at all machines.
 type scan struct {
-	now           event.Time
-	leadership    worker.Term
-	term          store.Condition // of all writes
-	silentAfter   time.Duration   // a machine without a report for so long is silent
-	zones         map[int][]*worker.Machine
-	announcements int // sent so far
+	now         event.Time
+	leadership  worker.Term
+	term        store.Condition // of all writes
+	silentAfter time.Duration   // a machine without a report for so long is silent
+	zones       map[int][]*worker.Machine
 }
 
 // Tick does what is due of the leader's work: it reads the machine list, releases
@@ -43,16 +45,19 @@
 	if a.list.due(now, a.cfg.RPS) && a.allowed(now) {
 		a.readList(now, out)
 	}
+	scan := &scan{now: now, leadership: leadership, term: term, silentAfter: silentAfter}
+	if a.announcementsLeft {
+		a.announceToken(scan, out)
+	}
 	if now-a.scannedAt < scanInterval {
 		return
 	}
 	a.scannedAt = now
-	scan := &scan{now: now, leadership: leadership, term: term, silentAfter: silentAfter}
 	a.updateUse(scan)
 	scan.zones = a.zones()
 	a.findPartitioned(scan)
 	a.announceToken(scan, out)
-	a.checkBooting(scan, out)
+	a.checkBooting(scan)
 	if now-a.termBeganAt < a.cfg.Settle {
 		return
 	}
@@ -82,31 +87,37 @@
 }
 
 // announceToken sends our fencing token to machines that reported and did not
-// confirm it since: that report may have been a copy, while the machine itself
-// reports to another controller.
+// confirm it since, as that report may have been a copy, while the machine itself
+// reports to another controller; and to those that are up by the cloud's list and
+// have not reported.
 func (a *Autoscaler) announceToken(scan *scan, out *event.Effects) {
+	a.announcementsLeft = false
+	limit := max(minAnnouncements, a.cfg.MaxConnections/announcementDivisor)
 	for _, machine := range a.workers.Machines {
-		if machine == nil || machine.LastReport == 0 || machine.TokenConfirmed {
+		if machine == nil || !a.awaitsToken(machine, scan.now) {
 			continue
 		}
-		if scan.now-machine.LastReport > announceAfter {
-			a.announceTo(machine, scan, out)
+		if a.workers.Announcing() >= limit {
+			a.announcementsLeft = true
+			return
 		}
+		a.workers.AnnounceToken(machine, scan.now, scan.leadership, out)
 	}
 }
 
-// announceTo sends one machine our fencing token, within the limit of the scan.
-func (a *Autoscaler) announceTo(machine *worker.Machine, scan *scan, out *event.Effects) {
-	if scan.announcements >= maxAnnouncements {
-		return
+// awaitsToken tells whether a machine that is up has not shown our fencing token
+// though it has had time to.
+func (a *Autoscaler) awaitsToken(machine *worker.Machine, now event.Time) bool {
+	if machine.LastReport != 0 {
+		return !machine.TokenConfirmed && now-machine.LastReport > announceAfter
 	}
-	scan.announcements++
-	a.workers.AnnounceToken(machine, scan.now, scan.leadership, out)
+	booting := a.booting[machine.Index]
+	return booting != nil && booting.up && now-booting.since > announceAfter
 }
 
 // checkBooting looks at the machines that have not reported: it forgets those that
 // have by now and retires those that never will.
-func (a *Autoscaler) checkBooting(scan *scan, out *event.Effects) {
+func (a *Autoscaler) checkBooting(scan *scan) {
 	for _, index := range slices.Sorted(maps.Keys(a.booting)) {
 		booting := a.booting[index]
 		machine := a.workers.At(index)
@@ -117,9 +128,6 @@
 			continue
 		}
 		age := scan.now - booting.since
-		if booting.up && age > announceAfter {
-			a.announceTo(machine, scan, out)
-		}
 		timeout, known := a.reportTimeout(booting, machine)
 		if known && age > timeout {
 			a.log.Info("machine never came up", "machine", machine.Name)
--- a/internal/core/load.go
+++ b/internal/core/load.go
@@ -17,6 +17,7 @@
 	Decoded, Unchanged  int // bytes of reports that were decoded, and that were only compared
 	Rounds              int // of the scheduler
 	CapacitiesRecounted int // machines whose capacity was counted anew
+	MachineIndices      int // that are or were in use; those of machines that are gone serve others
 }
 
 // Work returns the counts since the process began.
@@ -25,6 +26,7 @@
 	work.Decoded = n.parser.Decoded
 	work.Unchanged = n.parser.Unchanged
 	work.CapacitiesRecounted = n.scheduler.Recounted
+	work.MachineIndices = n.names.Machines.Len()
 	return work
 }
 
--- /dev/null
+++ b/internal/core/machines.go
@@ -0,0 +1,37 @@
+package core
+
+import (
+	"time"
+
+	"lugward/internal/event"
+)
+
+// machineSweepInterval is the time between two sweeps for machines that are gone. A
+// site provisions many times as many machines in a day as are up at a time, and
+// whatever is kept of each would add up.
+const machineSweepInterval = time.Minute
+
+// forgetGoneMachines drops what is kept of machines that nothing refers to any more,
+// so that their indices serve others.
+func (n *Node) forgetGoneMachines(now event.Time) {
+	if now-n.machinesSweptAt < machineSweepInterval {
+		return
+	}
+	n.machinesSweptAt = now
+	n.parser.Retain(func(name string) bool {
+		index, ok := n.names.Machines.Lookup(name)
+		return ok && n.workers.At(index) != nil
+	})
+	for index := range n.names.Machines.Len() {
+		if n.names.Machines.Used(index) && !n.refersToMachine(index) {
+			n.jobs.ForgetMachine(index)
+			n.names.Machines.Release(index)
+		}
+	}
+}
+
+// refersToMachine tells whether a machine's index is in use.
+func (n *Node) refersToMachine(index int) bool {
+	known := n.workers.At(index) != nil || n.autoscaler.IsBooting(index)
+	return known || len(n.jobs.OnMachine(index)) > 0 || n.waiting.byMachine[index] != nil
+}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -51,6 +51,8 @@
 	peers       []*peerState
 	heartbeatAt event.Time // of our last heartbeat
 
+	machinesSweptAt event.Time // when machines that are gone were last forgotten
+
 	leadership leadership
 	version    versionPublication
 	waiting    reports
@@ -130,12 +132,13 @@
 	n.workers = worker.New(n.names, n.jobs, n.log)
 	n.workers.SilentAfter = n.silentAfter()
 	n.autoscaler = autoscaler.New(autoscaler.Config{
-		ValueBytes: n.jobs.ValueLimit,
-		Addr:       n.cfg.Services.Cloud,
-		RPS:        settings.Cloud.RPS,
-		ListLag:    config.Seconds(settings.Cloud.ListLagS),
-		IdleKeep:   time.Duration(n.cfg.Operator.Autoscaler.IdleKeep),
-		Settle:     time.Duration(n.cfg.Operator.Autoscaler.Settle),
+		ValueBytes:     n.jobs.ValueLimit,
+		Addr:           n.cfg.Services.Cloud,
+		RPS:            settings.Cloud.RPS,
+		ListLag:        config.Seconds(settings.Cloud.ListLagS),
+		MaxConnections: settings.Resources.MaxConnections,
+		IdleKeep:       time.Duration(n.cfg.Operator.Autoscaler.IdleKeep),
+		Settle:         time.Duration(n.cfg.Operator.Autoscaler.Settle),
 	}, n.names, n.jobs, n.workers, n.store, n.log)
 	n.scheduler = &scheduler.Scheduler{
 		Jobs:           n.jobs,
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -201,7 +201,7 @@
 // if we may not answer as leader any more.
 func (n *Node) answerReport(report *waitingReport, now event.Time, out *event.Effects) {
 	n.waiting.markAnswered(report)
-	if !n.leadsReports(now) {
+	if !n.leadsReports(now) || n.autoscaler.Released(report.report.Machine) {
 		n.respond(report.from, event.StatusServiceUnavailable, nil, out)
 		return
 	}
--- a/internal/core/tick.go
+++ b/internal/core/tick.go
@@ -19,6 +19,7 @@
 	n.updateLeadership(now, out)
 	n.sendHeartbeat(now, out)
 	n.expireRelays(now, out)
+	n.forgetGoneMachines(now)
 	n.publishVersion(now)
 	n.markJobs(now)
 	n.api.Tick(now, out)
--- a/internal/intern/intern_test.go
+++ b/internal/intern/intern_test.go
@@ -22,3 +22,19 @@
 		t.Error("a name was added by Lookup")
 	}
 }
+
+// A released name's index serves the next new name, and the name gets an index like
+// any other when it comes again.
+func TestRelease(t *testing.T) {
+	var names Table
+	for _, name := range []string{"a", "b", "c"} {
+		names.Index(name)
+	}
+	names.Release(1)
+	if _, ok := names.Lookup("b"); ok || names.Used(1) || !names.Used(2) {
+		t.Error("a released name is still known")
+	}
+	if d, b := names.Index("d"), names.Index("b"); d != 1 || b != 3 || names.Name(1) != "d" || names.Len() != 4 {
+		t.Errorf("d has %d, b %d of %d", d, b, names.Len())
+	}
+}
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -192,6 +192,16 @@
 	return pause - time.Duration(random.Float64()*retryJitter*float64(pause))
 }
 
+// ForgetMachine drops what jobs remember of a machine that is gone.
+func (t *Table) ForgetMachine(machine int) {
+	for _, j := range t.Jobs {
+		if j != nil {
+			delete(j.retry.avoid, machine)
+			delete(j.retry.failedOn, machine)
+		}
+	}
+}
+
 // ClearFailures records that what failed before was not the job's fault: a task of
 // it works, or the machine was faulty.
 func (t *Table) ClearFailures(j *Job) {
--- a/internal/worker/direct.go
+++ b/internal/worker/direct.go
@@ -50,9 +50,13 @@
 	machine.lastAnnouncement = now
 	session := max(machine.Session, firstSession)
 	command := directCommand{term.FencingToken(), session, []Order{}}
+	r.announcing++
 	r.sendCommand(machine, command, directCall{announcedTo: machine}, out)
 }
 
+// Announcing counts the announcements in flight.
+func (r *Registry) Announcing() int { return r.announcing }
+
 // CallDone takes the outcome of a direct command; it tells whether the call was the
 // registry's. The worker's next report tells what became of a command. Only where
 // an announcement named the wrong session it is repeated with the right one, once.
@@ -62,6 +66,9 @@
 		return false
 	}
 	delete(r.calls, done.ID)
+	if call.announcedTo != nil {
+		r.announcing--
+	}
 	if call.announcedTo == nil || done.Status != http.StatusConflict {
 		return true
 	}
--- a/internal/worker/parser.go
+++ b/internal/worker/parser.go
@@ -62,6 +62,16 @@
 	p.last[key] = &lastReport{*report, bytes.Clone(text.after)}
 }
 
+// Retain forgets the last reports of all machines but those that keep names.
+func (p *Parser) Retain(keep func(machine string) bool) {
+	for machine, key := range p.keys {
+		if !keep(machine) {
+			delete(p.last, key)
+			delete(p.keys, machine)
+		}
+	}
+}
+
 // reportText is a report's text around the digits of its sequence.
 type reportText struct {
 	before   []byte
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -25,6 +25,7 @@
 
 	log          *slog.Logger
 	calls        map[uint64]directCall // in flight, by call
+	announcing   int                   // of these, the announcements
 	toStop       map[int]bool          // machines on which a task is to be stopped
 	suspects     map[int]bool          // machines with failed jobs
 	runtimeRatio map[int]float64       // runtime against estimate, by class
