--- a/internal/api/poll.go
+++ b/internal/api/poll.go
@@ -75,7 +75,7 @@
 // finalState returns the encoded state of a job that has ended, nil for any
 // other: the job has a final mark, or needs a cancelled job.
 func (s *Server) finalState(id string) []byte {
-	if final, ok := s.jobs.Finals[id]; ok {
+	if final, ok := s.jobs.Finals.Get(id); ok {
 		a := answer{ID: id, Phase: phaseNames[final.Phase]}
 		if final.Phase == pipeline.Done {
 			a.Done = final.N
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -75,7 +75,7 @@
 // new job itself is not accepted, so it cannot be among them.
 func (s *Server) validUpstream(upstream []string) bool {
 	for _, id := range upstream {
-		if final, ok := s.jobs.Finals[id]; ok {
+		if final, ok := s.jobs.Finals.Get(id); ok {
 			if final.Daemon {
 				return false
 			}
@@ -92,7 +92,8 @@
 func (s *Server) accept(now event.Time, conn uint64, j *pipeline.Job, upstream []string, out *event.Effects) {
 	j.Submitted = s.jobs.UnixMS(now)
 	for _, id := range upstream {
-		j.Ready = j.Ready && s.jobs.Finals[id].Phase == pipeline.Done
+		final, _ := s.jobs.Finals.Get(id)
+		j.Ready = j.Ready && final.Phase == pipeline.Done
 	}
 	if j.Ready {
 		j.ReadyAt = j.Submitted
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -114,6 +114,7 @@
 		NextRPS:      limits.RPS,
 		NextWriteRPS: limits.WriteRPS,
 		StaleAfter:   min(staleAfter, grace/stalePartOfGrace),
+		Permanent:    pipeline.FinalKey + "/",
 	}, n.onChange)
 	n.store.Log = n.log
 	n.election = election.New(election.Config{
--- a/internal/pipeline/finish.go
+++ b/internal/pipeline/finish.go
@@ -14,24 +14,26 @@
 	Daemon bool  // false also if an earlier version wrote the mark
 }
 
-// onFinal takes a final mark of the replica.
-func (t *Table) onFinal(id string, data []byte) {
-	if data == nil {
-		return // a final mark is never deleted
+// onFinal takes a final mark of the replica. It reports whether the mark is new: it
+// never changes, and may be shown twice.
+func (t *Table) onFinal(id string, data []byte) bool {
+	if data == nil || t.Finals.Has(id) {
+		return false
 	}
 	var r finalRecord
 	if json.Unmarshal(data, &r) != nil {
-		return
+		return false
 	}
 	f := Final{Phase: Done, N: r.TaskCount, Daemon: r.Daemon}
 	if r.Phase == markCancelled {
 		f.Phase = Cancelled
 	}
-	t.Finals[id] = f
+	t.Finals.add(id, f)
 	t.propagateFinal(id, f.Phase)
 	if j := t.byID[id]; j != nil {
 		t.finalize(j, f.Phase)
 	}
+	return true
 }
 
 // finalize takes over a final mark in the job's own state.
--- a/internal/pipeline/graph.go
+++ b/internal/pipeline/graph.go
@@ -99,7 +99,8 @@
 	upstreamCancelled := false
 	for _, id := range list {
 		upstream := t.byID[id]
-		switch phase := t.Finals[id].Phase; {
+		final, _ := t.Finals.Get(id)
+		switch phase := final.Phase; {
 		case phase == Done:
 		case phase == Cancelled || (upstream != nil && upstream.upstreamCancelled):
 			upstreamCancelled = true
--- a/internal/pipeline/graph_test.go
+++ b/internal/pipeline/graph_test.go
@@ -145,7 +145,7 @@
 // endJob marks a job as cancelled, or as done if all its upstream jobs are done.
 func (r *fixture) endJob(n int, cancel bool) {
 	j := r.Job(id(n))
-	if _, over := r.Finals[id(n)]; over || j == nil {
+	if r.Finals.Has(id(n)) || j == nil {
 		return
 	}
 	switch {
--- a/internal/pipeline/marks_test.go
+++ b/internal/pipeline/marks_test.go
@@ -96,7 +96,7 @@
 		step(after)
 	}
 	for i := range n {
-		if after.Finals[id(10+i)].Phase != Cancelled || after.Job(id(10+i)) != nil {
+		if final, _ := after.Finals.Get(id(10 + i)); final.Phase != Cancelled || after.Job(id(10+i)) != nil {
 			t.Fatalf("job %d is left", i)
 		}
 	}
--- a/internal/pipeline/parts.go
+++ b/internal/pipeline/parts.go
@@ -166,7 +166,7 @@
 // partsNeeded reports whether a list belongs to a held job, or to an attempt to
 // submit one that may still succeed.
 func (t *Table) partsNeeded(id string, now time.Duration) bool {
-	if _, over := t.Finals[id]; over {
+	if t.Finals.Has(id) {
 		return false
 	}
 	if t.accepted(id) {
--- a/internal/pipeline/production_test.go
+++ b/internal/pipeline/production_test.go
@@ -78,7 +78,7 @@
 			if json.Unmarshal(l.data, &r) != nil {
 				t.Fatal(string(l.data))
 			}
-			f := tb.Finals[l.rest]
+			f, _ := tb.Finals.Get(l.rest)
 			if got := EncodeFinal(f.Phase, &Job{Spec: Spec{TaskCount: f.N}}); !bytes.Equal(got, l.data) {
 				t.Errorf("%s becomes %s", l.data, got)
 			}
@@ -91,8 +91,8 @@
 		t.Errorf("%d jobs are left", len(tb.byID))
 	}
 	for id, want := range map[string]Phase{"req-000001": Done, "req-000002": Done, "req-000003": Cancelled, "req-000004": Done, "req-000005": Cancelled} {
-		if tb.Finals[id].Phase != want {
-			t.Errorf("%s: %v", id, tb.Finals[id])
+		if final, _ := tb.Finals.Get(id); final.Phase != want {
+			t.Errorf("%s: %v", id, final)
 		}
 	}
 }
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -331,7 +331,7 @@
 func (t *Table) orphanedRetries(limit int) []string {
 	var list []string
 	for id := range t.storedRetries {
-		if _, over := t.Finals[id]; over && t.byID[id] == nil && !t.cleaningRetries[id] {
+		if t.Finals.Has(id) && t.byID[id] == nil && !t.cleaningRetries[id] {
 			list = append(list, id)
 		}
 	}
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -11,7 +11,7 @@
 type Table struct {
 	Names  *Names
 	Jobs   []*Job // by index; nil: the index is free
-	Finals map[string]Final
+	Finals Finals
 	// Now is the steady time of the input that is being handled, in ns.
 	Now int64
 	// Changed is set whenever something that placement depends on has changed.
@@ -50,7 +50,7 @@
 func NewTable(n *Names, valueBytes, txnOps int) *Table {
 	return &Table{
 		Names:        n,
-		Finals:       map[string]Final{},
+		Finals:       newFinals(),
 		ValueLimit:   valueBytes,
 		byID:         map[string]*Job{},
 		graph:        newGraph(),
@@ -78,7 +78,9 @@
 			t.onRun(id, index, data, version)
 		}
 	case FinalKey:
-		t.onFinal(rest, data)
+		if !t.onFinal(rest, data) {
+			return
+		}
 	case RetryKey:
 		t.onRetry(rest, data, version)
 	case VersionKey:
@@ -115,7 +117,7 @@
 	j.propagatedDeadline = NoDeadline
 	t.assignIndex(j)
 	t.byID[id] = j
-	if f, ok := t.Finals[id]; ok {
+	if f, ok := t.Finals.Get(id); ok {
 		j.Final = f.Phase
 	}
 	t.loadRetry(j)
--- a/internal/pipeline/table_test.go
+++ b/internal/pipeline/table_test.go
@@ -16,7 +16,7 @@
 	q := &queue{}
 	tb.Flush(0, term, q)
 	carryOut(tb, q.next(t), 3)
-	if f := tb.Finals["req-1"]; f.Phase != Done || j.Phase() != Done {
+	if f, _ := tb.Finals.Get("req-1"); f.Phase != Done || j.Phase() != Done {
 		t.Errorf("the job is %v, its mark %v", j.Phase(), f)
 	}
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -29,6 +29,10 @@
 	// StaleAfter is the age at which the replica is refreshed although nobody
 	// waits for a read barrier.
 	StaleAfter time.Duration
+	// Permanent is the beginning of keys that are written once and never change or
+	// go. There may be very many; the replica keeps nothing of them, and the listener
+	// may receive one more than once. "": there are none.
+	Permanent string
 }
 
 // ListenFunc receives every change of the replica. data is nil when the key
@@ -82,7 +86,7 @@
 		rates:        newRates(limits),
 		pending:      map[uint64]pendingCall{},
 		health:       newHealth(),
-		replica:      newReplica(listen),
+		replica:      newReplica(listen, limits.Permanent),
 		watch:        poll{interval: minPollInterval},
 		barrier:      poll{interval: minPollInterval},
 		transactions: newTransactions(),
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -244,3 +244,28 @@
 		t.Errorf("synced %v at %d: %v", h.Synced(), h.Revision(), h.values)
 	}
 }
+
+// TestPermanentKeys: keys that never change reach the listener from pages, from the log
+// and from writes of ours; nothing of them is kept, and a new scan drops none of them.
+func TestPermanentKeys(t *testing.T) {
+	limits := ampleLimits
+	limits.Permanent = "f/"
+	h := newHarness(limits, `{"key":"f/req-1","data":{"n":1},"stamp":3}`, `{"key":"j/req-2","data":{"n":2},"stamp":4}`)
+	watch := h.take("/follow")[0]
+	h.Submit(&Intent{Priority: Accept, Conditions: []Condition{{Key: "f/req-2"}}, Writes: []Write{{Key: "f/req-2", Data: []byte(`{"n":2}`)}}, Done: func(Result) {}}, time.Minute)
+	h.wait(time.Second)
+	h.answer(h.take("/commit")[0], 200, `{"epoch":6}`)
+	h.answer(watch, 200, `{"epoch":7,"log":[{"write":"f/req-2","data":{"n":2},"stamp":6},{"write":"f/req-3","data":{"n":3},"stamp":7}]}`)
+	h.wait(time.Second)
+	h.answer(h.take("/follow")[0], 410, `{}`)
+	h.wait(time.Second)
+	h.answer(h.take("/keys")[0], 200, `{"items":[],"has_next":false,"epoch":9}`)
+	for _, key := range []string{"f/req-1", "f/req-2", "f/req-3"} {
+		if h.values[key] == "" || h.Version(key) != 0 {
+			t.Errorf("%s: %q, version %d", key, h.values[key], h.Version(key))
+		}
+	}
+	if h.values["j/req-2"] != "" || len(h.replica.versions) != 0 {
+		t.Errorf("%v, versions %v", h.values, h.replica.versions)
+	}
+}
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -10,6 +10,9 @@
 // their values go to the listener, in the order of their versions for each key.
 type replica struct {
 	listen ListenFunc
+	// permanent is the beginning of keys that are written once and never change: no
+	// version of them is kept. "": there are none.
+	permanent string
 	// synced means that every key has been read and revision can be followed.
 	synced bool
 	// revision is that of the service up to which the replica is complete. Our
@@ -24,8 +27,8 @@
 	tombstones map[string]uint64
 }
 
-func newReplica(listen ListenFunc) replica {
-	return replica{listen: listen, versions: map[string]uint64{}, tombstones: map[string]uint64{}}
+func newReplica(listen ListenFunc, permanent string) replica {
+	return replica{listen: listen, permanent: permanent, versions: map[string]uint64{}, tombstones: map[string]uint64{}}
 }
 
 // change takes one change from the service's log or of a write of ours. It
@@ -39,6 +42,12 @@
 
 // apply takes one change unless the replica holds a newer one of that key.
 func (r *replica) apply(key string, data []byte, version uint64) {
+	if r.isPermanent(key) {
+		if data != nil {
+			r.listen(key, data, version)
+		}
+		return
+	}
 	if version <= r.versions[key] || version <= r.tombstones[key] {
 		return
 	}
@@ -55,6 +64,12 @@
 	r.listen(key, data, version)
 }
 
+// isPermanent tells whether a key never changes once it is written. The listener may
+// be shown such a key more than once.
+func (r *replica) isPermanent(key string) bool {
+	return r.permanent != "" && strings.HasPrefix(key, r.permanent)
+}
+
 // advance records that the replica is complete up to a revision.
 func (r *replica) advance(revision uint64) {
 	if revision <= r.revision {
--- a/internal/store/scan.go
+++ b/internal/store/scan.go
@@ -72,7 +72,9 @@
 		c.scan.revision = page.Revision
 	}
 	for _, item := range page.Items {
-		c.scan.seen[item.Key] = true
+		if !c.replica.isPermanent(item.Key) {
+			c.scan.seen[item.Key] = true
+		}
 		c.replica.apply(item.Key, item.Data, item.Version)
 	}
 	if page.HasNext {
