--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -192,6 +192,16 @@
 	return pause - time.Duration(random.Float64()*retryJitter*float64(pause))
 }
 
+// ForgetMachine drops what jobs remember of a machine that is gone.
+func (t *Table) ForgetMachine(machine int) {
+	for _, j := range t.Jobs {
+		if j != nil {
+			delete(j.retry.avoid, machine)
+			delete(j.retry.failedOn, machine)
+		}
+	}
+}
+
 // ClearFailures records that what failed before was not the job's fault: a task of
 // it works, or the machine was faulty.
 func (t *Table) ClearFailures(j *Job) {
@@ -321,7 +331,7 @@
 func (t *Table) orphanedRetries(limit int) []string {
 	var list []string
 	for id := range t.storedRetries {
-		if _, over := t.Finals[id]; over && t.byID[id] == nil && !t.cleaningRetries[id] {
+		if t.Finals.Has(id) && t.byID[id] == nil && !t.cleaningRetries[id] {
 			list = append(list, id)
 		}
 	}
