A relay link may hold back more; a response is a type of its own; Job.Begun

A link to a controller that stands still was dropped with 512 KiB unread, heartbeats included: half a second of relayed reports from 4,000 workers, by arithmetic. It may hold back 8 MiB now (TestLimits). Left from the last reading: AppendResponse had a positional bool; whether a job has begun was written out in three places; the zones of a job were counted once a machine in placeOne. Behaviour is the same.

--- a/internal/engine/connections.go
+++ b/internal/engine/connections.go
@@ -15,6 +15,9 @@
 	incomingIdleTimeout = 150 * time.Second // an unused incoming connection is closed
 	partialReadTimeout  = 10 * time.Second  // a request or frame must arrive whole within this
 	maxUnsentBytes      = 512 << 10         // a reader that is this far behind is dropped
+	// A controller that stands still for a moment may be relayed the reports of
+	// thousands of workers meanwhile. To drop the link would lose its heartbeats, too.
+	maxUnsentPeerBytes = 8 << 20
 	// maxPipelinedBytes is how much a client may send while it awaits a reply.
 	maxPipelinedBytes = httpwire.MaxHead + httpwire.MaxBody
 )
@@ -67,6 +70,15 @@
 	return false
 }
 
+// readerIsBehind tells whether the other side has left too much unread.
+func (c *connection) readerIsBehind() bool {
+	limit := maxUnsentBytes
+	if c.kind == outgoingPeer {
+		limit = maxUnsentPeerBytes
+	}
+	return c.socket.OutboundBuffered() > limit
+}
+
 // OnOpen takes an accepted connection, or one of ours that has been dialled.
 func (e *engine) OnOpen(socket gnet.Conn) ([]byte, gnet.Action) {
 	if e.loop.Load() == nil {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -198,4 +198,9 @@
 	if maxUnsentBytes <= httpwire.MaxBody || maxFrameBytes <= httpwire.MaxBody {
 		t.Error("a whole report must fit a frame and the unsent bound")
 	}
+	// Reports of a kibibyte each, one of every worker in the three seconds for which
+	// a relay waits.
+	if relayed := 8000 << 10; maxUnsentPeerBytes < relayed {
+		t.Error("the reports of 8,000 workers must fit what a link to a peer may hold back")
+	}
 }
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -9,12 +9,6 @@
 	"lugward/internal/httpwire"
 )
 
-// Arguments of httpwire.AppendResponse.
-const (
-	noRetryAfter    = 0
-	closeConnection = true
-)
-
 // readRequests reads from a client. A request that arrives before the last one
 // is answered stays buffered until then.
 func (e *engine) readRequests(c *connection) gnet.Action {
@@ -46,7 +40,7 @@
 	}
 	if err != nil {
 		// To a user, a body over the limit is a malformed submission as well.
-		_, _ = c.socket.Write(httpwire.AppendResponse(nil, event.StatusBadRequest, nil, noRetryAfter, closeConnection))
+		_, _ = c.socket.Write(httpwire.AppendResponse(nil, httpwire.Response{Status: event.StatusBadRequest, Close: true}))
 		e.drop(c)
 		return
 	}
@@ -75,7 +69,8 @@
 	if c.party == workerParty && e.sockets.workers > e.workerLimit() {
 		c.closeAfter = true
 	}
-	_, _ = c.socket.Write(httpwire.AppendResponse(nil, r.Status, r.Body, r.RetryAfter, c.closeAfter))
+	response := httpwire.Response{Status: r.Status, Body: r.Body, RetryAfter: r.RetryAfter, Close: c.closeAfter}
+	_, _ = c.socket.Write(httpwire.AppendResponse(nil, response))
 	if c.closeAfter {
 		e.drop(c)
 		return
--- a/internal/engine/ticker.go
+++ b/internal/engine/ticker.go
@@ -80,7 +80,7 @@
 // our output too slowly.
 func (e *engine) sweep(now event.Time) {
 	for _, c := range e.sockets.connections {
-		if c.timedOut(now) || c.socket.OutboundBuffered() > maxUnsentBytes {
+		if c.timedOut(now) || c.readerIsBehind() {
 			e.drop(c)
 		}
 	}
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -99,24 +99,31 @@
 	return m, n, err
 }
 
-// AppendResponse appends a response to dst. retryAfter is in seconds; 0 leaves
-// the header out. closing announces the end of the connection.
-func AppendResponse(dst []byte, status int, body []byte, retryAfter int, closing bool) []byte {
+// Response is a response to be sent.
+type Response struct {
+	Status     int
+	Body       []byte
+	RetryAfter int  // seconds, 0: no header
+	Close      bool // announces the end of the connection
+}
+
+// AppendResponse appends a response to dst.
+func AppendResponse(dst []byte, r Response) []byte {
 	dst = append(dst, "HTTP/1.1 "...)
-	dst = strconv.AppendInt(dst, int64(status), 10)
+	dst = strconv.AppendInt(dst, int64(r.Status), 10)
 	dst = append(dst, ' ')
-	dst = append(dst, reasons[status]...)
-	if len(body) > 0 {
+	dst = append(dst, reasons[r.Status]...)
+	if len(r.Body) > 0 {
 		dst = append(dst, "\r\nContent-Type: application/json"...)
 	}
-	if retryAfter > 0 {
+	if r.RetryAfter > 0 {
 		dst = append(dst, "\r\nRetry-After: "...)
-		dst = strconv.AppendInt(dst, int64(retryAfter), 10)
+		dst = strconv.AppendInt(dst, int64(r.RetryAfter), 10)
 	}
-	if closing {
+	if r.Close {
 		dst = append(dst, "\r\nConnection: close"...)
 	}
-	return appendBody(dst, body)
+	return appendBody(dst, r.Body)
 }
 
 // AppendRequest appends a request to dst; host is the value of its Host header.
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -288,6 +288,9 @@
 	return !j.IsDone(task) && j.Entry(task) == nil && !j.doneUnlogged[task]
 }
 
+// Begun reports whether a task of the job has been placed, be it that it is done.
+func (j *Job) Begun() bool { return j.Active() > 0 || j.DoneCount() > 0 }
+
 // NextOpen returns the first task from a number on that waits to be placed, TaskCount
 // if there is none. What it has passed over is not looked at again until it opens, so
 // that an array is not walked over from its first task for each one that is placed.
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -37,13 +37,12 @@
 func precedenceOf(job *pipeline.Job, now event.Time) precedence {
 	waited := int64(now) - job.ReadySince
 	overdue := waited > int64(maxStartDelay) && !job.AtFault()
-	begun := job.Active() > 0 || job.DoneCount() > 0
 	switch {
 	case job.WithinGuarantee:
 		return withinGuarantee
 	case overdue && job.IsGang():
 		return gangOverdue
-	case overdue && !begun:
+	case overdue && !job.Begun():
 		return startOverdue
 	default:
 		return byReadiness
--- a/internal/scheduler/starving.go
+++ b/internal/scheduler/starving.go
@@ -24,8 +24,7 @@
 // before any other work. Gangs are left to their order: they have no first task.
 func starving(job *pipeline.Job, now event.Time) bool {
 	waited := int64(now) - job.ReadySince
-	begun := job.Active() > 0 || job.DoneCount() > 0
-	return waited > int64(startLimit) && !begun && !job.IsGang() && !job.AtFault()
+	return waited > int64(startLimit) && !job.Begun() && !job.IsGang() && !job.AtFault()
 }
 
 // forcedStart tells whether a task was placed a moment ago as the first one of a
@@ -59,8 +58,9 @@
 // placeOne places a single task of a job that is no gang. It tells whether there
 // was capacity for it.
 func (s *Scheduler) placeOne(job *pipeline.Job, now event.Time) bool {
+	inZone := s.Zones(job)
 	for _, capacity := range s.rankCapacities(job, now) {
-		if ZoneCapacity(job, s.Zones(job), capacity.Zone) > 0 {
+		if ZoneCapacity(job, inZone, capacity.Zone) > 0 {
 			s.placeTasks(job, placement{capacity, 1}, nextAttempt(job), now)
 			return true
 		}
