--- a/internal/simtest/commands_faults.go
+++ b/internal/simtest/commands_faults.go
@@ -230,10 +230,13 @@
 		}
 		for _, k := range w.Workers() {
 			if zone, ok := a["zone"]; !ok || zone == k.zone {
-				w.Cut(n.name, k.name, on)
+				w.setCut(n.name, k.name, on)
 			}
 		}
 	}
+	if !on {
+		w.releaseHeld() // once: it goes through all that are held
+	}
 }
 
 func cutOffZone(w *World, a Args, _ string) (string, error) {
--- a/internal/simtest/network.go
+++ b/internal/simtest/network.go
@@ -72,12 +72,20 @@
 
 // Cut stops packets between two machines in both directions.
 func (w *World) Cut(a, b string, on bool) {
+	w.setCut(a, b, on)
+	if !on {
+		w.releaseHeld()
+	}
+}
+
+func (w *World) setCut(a, b string, on bool) {
 	for _, p := range [][2]string{{a, b}, {b, a}} {
 		w.cut[p] = on
 	}
-	if on {
-		return
-	}
+}
+
+// releaseHeld delivers the packets that were held back on links that are cut no more.
+func (w *World) releaseHeld() {
 	held := w.held
 	w.held = nil
 	for _, h := range held {
