Workers that the leader has no socket for are relayed by other controllers

Need: all workers report to the leader, so its max_connections bounded how many could stay connected, while the sockets of the others were idle; the rest dialled anew for each report. Now the leader sends such a worker to another controller, picked by the machine's name among those alive, which sees the leader's token on its report and relays it. TestFewerSocketsThanWorkers: the core hears of crowded reports and of no user's.

--- /dev/null
+++ b/internal/core/divert.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"encoding/json"
+	"hash/fnv"
+
+	"lugward/internal/event"
+	"lugward/internal/worker"
+)
+
+// divert sends a worker that the leader has no socket for to another controller, which
+// sees by the fencing token that the leader has served it and relays its reports: so
+// the sockets of all controllers carry workers, where else the worker would have to
+// dial the leader anew for each report. One that is back soon is served here, as that
+// controller does not reach us or has ended. It tells whether the worker was sent away;
+// what its report says comes again with the next one.
+func (n *Node) divert(now event.Time, r event.Request, report *worker.Report, out *event.Effects) bool {
+	if !r.Crowded || report.FencingToken != n.election.FencingToken() {
+		return false
+	}
+	index, known := n.names.Machines.Lookup(report.Machine)
+	machine := n.workers.At(index)
+	if !known || machine == nil {
+		return false
+	}
+	if machine.DivertedAt != 0 && now-machine.DivertedAt < redirectWindow {
+		return false
+	}
+	label := n.relayingPeer(report.Machine)
+	if label == "" {
+		return false
+	}
+	machine.DivertedAt = now
+	body, _ := json.Marshal(redirectAnswer{Leader: label})
+	out.Reply(r.Conn, event.StatusMisdirected, body)
+	return true
+}
+
+// relayingPeer picks, among the controllers that are alive, the one that relays for a
+// machine, so that machines are spread evenly; "" if none is alive.
+func (n *Node) relayingPeer(machine string) string {
+	var labels []string
+	for _, p := range n.peers {
+		if n.alive(p) {
+			labels = append(labels, p.label)
+		}
+	}
+	if len(labels) == 0 {
+		return ""
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(machine))
+	return labels[int(hash.Sum32())%len(labels)]
+}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -55,6 +55,9 @@
 		n.relayOrRedirect(now, r, report, out)
 		return
 	}
+	if n.divert(now, r, report, out) {
+		return
+	}
 	n.takeReport(now, replyTo{conn: r.Conn}, report, out)
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -18,7 +18,9 @@
 	mu     sync.Mutex
 	frames [][]byte // that have arrived
 	calls  []string // addresses to call at the next tick
-	done   chan event.CallDone
+
+	crowded map[string]int // by path
+	done    chan event.CallDone
 }
 
 func (c *echoCore) Clock(event.Time, time.Time) {}
@@ -33,6 +35,11 @@
 }
 
 func (c *echoCore) Request(_ event.Time, r event.Request, out *event.Effects) {
+	if r.Crowded {
+		c.mu.Lock()
+		c.crowded[r.Path]++
+		c.mu.Unlock()
+	}
 	out.Reply(r.Conn, event.StatusOK, []byte(r.Method+" "+r.Path+" "+string(r.Body)))
 }
 
@@ -44,6 +51,14 @@
 	c.frames = append(c.frames, f.Data)
 }
 
+// crowdedCount returns how many requests for a path have come for which there were too
+// few sockets.
+func (c *echoCore) crowdedCount(path string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crowded[path]
+}
+
 // frameCount returns how many frames have arrived.
 func (c *echoCore) frameCount() int {
 	c.mu.Lock()
@@ -129,7 +144,7 @@
 
 // start runs an engine with an echoCore for the rest of the test process.
 func start(t *testing.T, maxConnections int) (*echoCore, Config) {
-	core := &echoCore{done: make(chan event.CallDone, 100)}
+	core := &echoCore{crowded: map[string]int{}, done: make(chan event.CallDone, 100)}
 	return core, serve(t, core, maxConnections)
 }
 
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -53,6 +53,8 @@
 		Method: message.Method,
 		Path:   message.Target,
 		Body:   append([]byte(nil), message.Body...),
+
+		Crowded: e.isCrowded(c),
 	}
 	_, _ = c.socket.Discard(size)
 	e.core.Request(e.now(), request, &e.steps.effects)
@@ -66,7 +68,7 @@
 	}
 	c.busy = false
 	c.lastActive = e.now()
-	if c.party == workerParty && e.sockets.workers > e.workerLimit() {
+	if e.isCrowded(c) {
 		c.closeAfter = true
 	}
 	response := httpwire.Response{Status: r.Status, Body: r.Body, RetryAfter: r.RetryAfter, Close: c.closeAfter}
--- a/internal/engine/sockets.go
+++ b/internal/engine/sockets.go
@@ -63,6 +63,12 @@
 	return e.cfg.MaxConnections - e.outgoingReserve() - e.cfg.MaxConnections/userDivisor
 }
 
+// isCrowded tells whether a connection is a worker's, and more of these are open than
+// may stay.
+func (e *engine) isCrowded(c *connection) bool {
+	return c.party == workerParty && e.sockets.workers > e.workerLimit()
+}
+
 // freeSocket makes a socket available for one more incoming connection and
 // tells whether it could. With all sockets taken, the least recently used
 // connection is closed among the spare outgoing ones (direct commands leave one
--- a/internal/engine/sockets_test.go
+++ b/internal/engine/sockets_test.go
@@ -66,7 +66,7 @@
 // connection was closed with an answer. Every request is answered.
 func TestFewerSocketsThanWorkers(t *testing.T) {
 	const sockets = 64
-	_, cfg := start(t, sockets)
+	core, cfg := start(t, sockets)
 	var workers [3 * sockets]*client
 	for i := range workers {
 		workers[i] = &client{addr: cfg.Bind}
@@ -95,6 +95,11 @@
 	if connected > most || connected < most/2 {
 		t.Errorf("%d workers stay connected, not about %d", connected, most)
 	}
+	// The core hears of each whose connection ends for want of sockets, and of no user.
+	least := 3 * (len(workers) - most)
+	if got := core.crowdedCount(workerPath); got < least || core.crowdedCount(userPath) != 0 {
+		t.Errorf("%d of the reports were crowded, not %d at least, and %d of the users' requests", got, least, core.crowdedCount(userPath))
+	}
 }
 
 // TestSpareCallsGiveWay checks that connections left from calls of ours, such
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -14,6 +14,9 @@
 	Method string
 	Path   string
 	Body   []byte
+	// Crowded tells that more workers are connected than there are sockets for: this
+	// one's connection ends with the reply.
+	Crowded bool
 }
 
 // Reply answers the Request of a connection.
--- a/internal/simtest/commands_inspect.go
+++ b/internal/simtest/commands_inspect.go
@@ -27,6 +27,7 @@
 	"machine_state": {"prints whether a machine is booting, up, failed (its worker ended, the cloud still has it) or gone (returned or terminated)",
 		[]argument{need(text("machine", "name of the machine"))}, show(func(w *World, a Args) string { return w.cloud.machineState(a["machine"]) })},
 	"starts":           {"prints the number of starts that workers executed", nil, count(func(w *World) int { return w.check.starts })},
+	"connected":        {"prints how many workers are connected to each controller", nil, show(workersByController)},
 	"unanswered":       {"prints the number of workers' reports that got no answer", nil, count(func(w *World) int { return w.check.unanswered })},
 	"after":            {"prints the number of starts after an acknowledged cancellation", nil, count(func(w *World) int { return w.check.after })},
 	"refused":          {"prints the number of requests refused by the state service's rates", nil, count(func(w *World) int { return w.state.refused })},
@@ -114,6 +115,14 @@
 	return strconv.Itoa(len(j.complete)), nil
 }
 
+func workersByController(w *World, _ Args) string {
+	var parts []string
+	for _, n := range w.nodes {
+		parts = append(parts, fmt.Sprintf("%s=%d", n.name, len(n.connected)))
+	}
+	return strings.Join(parts, " ")
+}
+
 func leaderName(w *World, _ Args) string {
 	if l := w.Leader(); l != nil {
 		return l.name
--- a/internal/simtest/faults.go
+++ b/internal/simtest/faults.go
@@ -12,6 +12,7 @@
 	cancelEnds      float64       // jobs that end that are cancelled at that moment
 	invalidRequests bool          // users send invalid requests
 	invalidIDs      int
+	workerSockets   int           // workers that a controller has sockets for, 0: for all
 	refusedWhenCut  float64       // requests to controllers over cut links that fail at once
 	faultsEnd       time.Duration // when the last fault ends
 }
--- a/internal/simtest/network.go
+++ b/internal/simtest/network.go
@@ -147,7 +147,8 @@
 		id := n.next
 		n.conns[id] = answer
 		n.step(func(now event.Time) {
-			n.core.Request(now, event.Request{Conn: id, Method: method, Path: path, Body: body}, &n.out)
+			crowded := path == "/hello" && n.connect(from, id)
+			n.core.Request(now, event.Request{Conn: id, Method: method, Path: path, Body: body, Crowded: crowded}, &n.out)
 		})
 	}
 	to, there, back := w.reportDelays(n, path)
@@ -169,6 +170,25 @@
 	}
 }
 
+// connect notes that a worker is connected to a controller, and tells whether that is
+// more than it has sockets for: the connection then ends with the answer, as it does
+// where the worker is sent elsewhere.
+func (n *node) connect(worker string, request uint64) (crowded bool) {
+	for _, o := range n.w.nodes {
+		delete(o.connected, worker)
+	}
+	n.connected[worker] = true
+	crowded = n.w.workerSockets > 0 && len(n.connected) > n.w.workerSockets
+	answer := n.conns[request]
+	n.conns[request] = func(status int, body []byte) {
+		if crowded || status == 421 {
+			delete(n.connected, worker)
+		}
+		answer(status, body)
+	}
+	return crowded
+}
+
 func (w *World) isolateFor(n *node, d time.Duration) {
 	w.isolate(n, true)
 	w.after(d, func() { w.isolate(n, false) })
--- a/internal/simtest/node.go
+++ b/internal/simtest/node.go
@@ -23,7 +23,9 @@
 	up    bool
 	start time.Duration
 	conns map[uint64]func(status int, body []byte)
-	next  uint64
+
+	connected map[string]bool // workers with a connection, by name
+	next      uint64
 
 	watchBlocked bool // its questions about changes get no answer, its other requests do
 	denied       bool // the state service answers everybody but this one
@@ -46,6 +48,7 @@
 	n.life++
 	n.up, n.start = true, n.w.now
 	n.conns = map[uint64]func(int, []byte){}
+	n.connected = map[string]bool{}
 	n.core = core.New(&cfg, n.w.log.With("node", n.name, "life", n.life), nil)
 	n.out.Reset()
 	n.tick(n.life)
--- a/internal/worker/machine.go
+++ b/internal/worker/machine.go
@@ -39,6 +39,7 @@
 	LastReport    event.Time // 0: none in this term
 	LastAnswer    event.Time // 0: none in this term
 	ReconnectedAt event.Time // when it last reported again after it had been silent
+	DivertedAt    event.Time // when it was last sent to another controller for want of sockets, 0: never
 	RelayedAt     event.Time // when a report of it last came through another controller, 0: never
 	firstReport   event.Time
 }
