One way to send a worker elsewhere, one lookup of a machine by name

Need, found on the last reading of the change: the redirect's body was encoded in two places, a machine was looked up by name without being added in three, placeTasks found an open task that it then replaced for a probe, the cloud's stand-in counted refusals that nobody read, and two scenario commands looked a job up alike. Behaviour is the same.

--- a/internal/core/divert.go
+++ b/internal/core/divert.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"encoding/json"
 	"hash/fnv"
 
 	"lugward/internal/event"
@@ -18,9 +17,8 @@
 	if !r.Crowded || report.FencingToken != n.election.FencingToken() {
 		return false
 	}
-	index, known := n.names.Machines.Lookup(report.Machine)
-	machine := n.workers.At(index)
-	if !known || machine == nil {
+	machine := n.workers.Lookup(report.Machine)
+	if machine == nil {
 		return false
 	}
 	if machine.DivertedAt != 0 && now-machine.DivertedAt < redirectWindow {
@@ -31,8 +29,7 @@
 		return false
 	}
 	machine.DivertedAt = now
-	body, _ := json.Marshal(redirectAnswer{Leader: label})
-	out.Reply(r.Conn, event.StatusMisdirected, body)
+	redirectTo(label, r.Conn, out)
 	return true
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -18,10 +18,7 @@
 		return
 	}
 	n.machinesSweptAt = now
-	n.parser.Retain(func(name string) bool {
-		index, ok := n.names.Machines.Lookup(name)
-		return ok && n.workers.At(index) != nil
-	})
+	n.parser.Retain(func(name string) bool { return n.workers.Lookup(name) != nil })
 	for index := range n.names.Machines.Len() {
 		if n.names.Machines.Used(index) && !n.refersToMachine(index) {
 			n.jobs.ForgetMachine(index)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -81,8 +81,8 @@
 
 // relayOrRedirect brings a worker's report to the leader. A worker that the leader
 // has not served is redirected first; if it comes back soon it could not reach the
-// leader, and its reports are relayed over the peer link. So a partition between two zones
-// costs no worker its lease as long as one controller reaches both sides. The
+// leader, and its reports are relayed over the peer link. So a partition between two
+// zones costs no worker its lease as long as one controller reaches both sides. The
 // leader treats relayed reports like any other; a late one is merely old.
 func (n *Node) relayOrRedirect(now event.Time, r event.Request, report *worker.Report, out *event.Effects) {
 	leader := n.liveLeader()
@@ -176,6 +176,11 @@
 		out.Reply(conn, event.StatusMisdirected, nil)
 		return
 	}
-	body, _ := json.Marshal(redirectAnswer{Leader: leader})
+	redirectTo(leader, conn, out)
+}
+
+// redirectTo tells a worker to report to a controller.
+func redirectTo(label string, conn uint64, out *event.Effects) {
+	body, _ := json.Marshal(redirectAnswer{Leader: label})
 	out.Reply(conn, event.StatusMisdirected, body)
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -108,10 +108,14 @@
 func (s *Scheduler) placeTasks(job *pipeline.Job, placement placement, attempt uint64, now event.Time) {
 	placement.capacity.Allocate(&job.Spec, placement.tasks)
 	for range placement.tasks {
-		task := job.NextOpen(0)
-		if job.AtFault() && job.Shape != pipeline.Gang {
-			task = job.ProbeTask()
-		}
-		s.Jobs.Place(job, task, placement.capacity.Machine.Index, attempt, int64(now))
+		s.Jobs.Place(job, nextTask(job), placement.capacity.Machine.Index, attempt, int64(now))
+	}
+}
+
+// nextTask is the open task of a job that is placed next.
+func nextTask(job *pipeline.Job) int {
+	if job.AtFault() && job.Shape != pipeline.Gang {
+		return job.ProbeTask()
 	}
+	return job.NextOpen(0)
 }
--- a/internal/simtest/cloud.go
+++ b/internal/simtest/cloud.go
@@ -43,7 +43,6 @@
 	down         bool
 	available    map[string]int // per type, zone and kind; absent: plenty
 	requests     budget
-	refused      int // requests beyond the rate
 	never        int // so many of the next machines never boot
 	returned     int
 }
@@ -99,7 +98,6 @@
 		return
 	}
 	if !c.requests.take(c.w.now, c.w.cfg.Settings.Cloud.RPS, cloudBurst, 1) {
-		c.refused++
 		answer(429, nil)
 		return
 	}
--- a/internal/simtest/commands_inspect.go
+++ b/internal/simtest/commands_inspect.go
@@ -19,7 +19,7 @@
 	"machines":      {"prints the machines that the cloud has provisioned and not taken back, by type", nil, show(machinesByType)},
 	"keys":          {"prints keys and values of the state service", []argument{need(text("prefix", "of the keys"))}, show(func(w *World, a Args) string { return strings.Join(w.Keys(a["prefix"]), "\n") })},
 	"job_machines":  {"prints the number of machines that a job's tasks are on, and how many are slow", onlyID, show(machinesOfJob)},
-	"completed":     {"prints the number of a job's tasks that have completed", onlyID, completedTasks},
+	"completed":     {"prints the number of a job's tasks that have completed", onlyID, countOfJob(func(j *job) int { return len(j.complete) })},
 	"running_tasks": {"prints the number of a job's tasks that are on machines", onlyID, show(runningTasks)},
 	"acknowledged":  {"prints the phase of a job that was last acknowledged", onlyID, show(func(w *World, a Args) string { return w.check.acknowledged[a["id"]] })},
 	"leads":         {"prints the leader", nil, show(leaderName)},
@@ -33,7 +33,7 @@
 	"refused":          {"prints the number of requests refused by the state service's rates", nil, count(func(w *World) int { return w.state.refused })},
 	"oversized_writes": {"prints the number of writes refused for their size", nil, count(func(w *World) int { return w.state.tooLarge })},
 	"provisioned":      {"prints the number of machines that controllers have provisioned so far", nil, count((*World).provisioned)},
-	"attempts":         {"prints the number of starts that workers executed for a job, from when its image was fetched; each task of a gang's attempt counts", onlyID, attemptsOf},
+	"attempts":         {"prints the number of starts that workers executed for a job, from when its image was fetched; each task of a gang's attempt counts", onlyID, countOfJob(func(j *job) int { return j.attempts })},
 	"stopped": {"prints the number of tasks, of a job or of all, that a command stopped while their job was neither finished nor cancelled",
 		[]argument{text("id", "job ID, all if absent")}, show(stoppedTasks)},
 }
@@ -107,12 +107,15 @@
 
 func runningTasks(w *World, a Args) string { return strconv.Itoa(len(w.tasksOf(a["id"]))) }
 
-func completedTasks(w *World, a Args, _ string) (string, error) {
-	j := w.jobs[a["id"]]
-	if j == nil {
-		return "", errors.New("the job was not submitted")
+// countOfJob makes a runner of what prints a number of a submitted job.
+func countOfJob(number func(j *job) int) runner {
+	return func(w *World, a Args, _ string) (string, error) {
+		j := w.jobs[a["id"]]
+		if j == nil {
+			return "", errors.New("the job was not submitted")
+		}
+		return strconv.Itoa(number(j)), nil
 	}
-	return strconv.Itoa(len(j.complete)), nil
 }
 
 func workersByController(w *World, _ Args) string {
@@ -161,14 +164,6 @@
 	return sum
 }
 
-func attemptsOf(w *World, a Args, _ string) (string, error) {
-	j := w.jobs[a["id"]]
-	if j == nil {
-		return "", errors.New("the job was not submitted")
-	}
-	return strconv.Itoa(j.attempts), nil
-}
-
 func stoppedTasks(w *World, a Args) string {
 	sum := 0
 	for id, j := range w.jobs {
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -63,6 +63,15 @@
 	return r.Machines[index]
 }
 
+// Lookup returns a machine by name, or nil; unlike Machine it adds none.
+func (r *Registry) Lookup(name string) *Machine {
+	index, ok := r.Names.Machines.Lookup(name)
+	if !ok {
+		return nil
+	}
+	return r.At(index)
+}
+
 // At returns a machine by index, or nil.
 func (r *Registry) At(index int) *Machine {
 	if index < 0 || index >= len(r.Machines) {
@@ -170,15 +179,14 @@
 
 // Idle tells whether a usable machine reports no task and has none to start yet.
 func (r *Registry) Idle(report *Report) bool {
-	index, ok := r.Names.Machines.Lookup(report.Machine)
-	if !ok || len(report.Tasks) > 0 {
+	if len(report.Tasks) > 0 {
 		return false
 	}
-	machine := r.At(index)
+	machine := r.Lookup(report.Machine)
 	if machine == nil || !machine.reachable() || machine.leaving() {
 		return false
 	}
-	for _, entry := range r.Jobs.OnMachine(index) {
+	for _, entry := range r.Jobs.OnMachine(machine.Index) {
 		if entry.Durable {
 			return false
 		}
