Review, case 1: after all controllers end, none returns if many jobs have ended

Cause: the scan of all keys at a controller's start doesn't wait for the request rate of the state service, and gives up and begins again at the first 429. The final states of all jobs that ever ended are among the keys.

Change: review/1 with its claim and test, and the stand-ins of the state service, the cloud, the workers and the users that the cases share. Nothing else is changed.

--- /dev/null
+++ b/review/standin/scenarios.go
@@ -0,0 +1,6 @@
+package main
+
+// scenarios are the cases by name.
+var scenarios = map[string]scenario{
+	"history": historyScenario,
+}
