--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -3,4 +3,5 @@
 // scenarios are the cases by name.
 var scenarios = map[string]scenario{
 	"history": historyScenario,
+	"relay":   relayScenario,
 }
