--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -1,15 +1,17 @@
 package main
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
 
 // proxy forwards the connections of one path of the network. While the path is cut,
 // bytes are held back and delivered in order afterwards, also if their sender has closed
-// the connection meanwhile. A connection that is opened while the path is cut never
-// completes.
+// the connection meanwhile. A connection that is opened while the path is cut is completed
+// afterwards, unless its sender has given it up.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -17,7 +19,6 @@
 	mu   sync.Mutex
 	open *sync.Cond
 	held bool
-	era  int // counts the cuts
 }
 
 func newProxy(target string) *proxy {
@@ -33,22 +34,39 @@
 func (p *proxy) cut(held bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if held && !p.held {
-		p.era++
-	}
 	p.held = held
 	p.open.Broadcast()
 }
 
 // waitOpen waits until the path is not cut.
-func (p *proxy) waitOpen() (waited bool) {
+func (p *proxy) waitOpen() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.held {
-		waited = true
 		p.open.Wait()
 	}
-	return waited
+}
+
+func (p *proxy) isCut() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
+// await waits until the path is not cut and returns what the client has sent meanwhile.
+// alive is false if the client has given up.
+func (p *proxy) await(client *net.TCPConn) (sent []byte, alive bool) {
+	buffer := make([]byte, 64<<10)
+	for p.isCut() {
+		_ = client.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+		n, err := client.Read(buffer)
+		sent = append(sent, buffer[:n]...)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, false
+		}
+	}
+	_ = client.SetReadDeadline(time.Time{})
+	return sent, true
 }
 
 func (p *proxy) accept() {
@@ -62,11 +80,15 @@
 }
 
 func (p *proxy) serve(client *net.TCPConn) {
-	if p.waitOpen() {
+	sent, alive := p.await(client)
+	if !alive {
 		reset(client)
 		return
 	}
 	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err == nil {
+		_, err = server.Write(sent)
+	}
 	if err != nil {
 		reset(client)
 		return
--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -5,33 +5,32 @@
 	"time"
 )
 
-// relayScenario: the leader loses its workers, so another controller relays their reports.
-// That controller and the third one are killed; the first is back within a fraction of a
-// second, the third after 4 s. A job that only the small machines may run is submitted.
+// relayScenario: the leader loses its workers for a few seconds, so another controller
+// relays their reports. That controller and the third one are killed; the first is back
+// within a fraction of a second, the third after 4 s. A user submits an ordinary job.
 var relayScenario = scenario{
-	rule:     "wrong_place",
+	rule:     "ran_twice",
 	settings: smallDeployment(),
 	attempts: 3,
 	run:      runRelay,
 }
 
 const (
-	relayGroup = 3 // machines of each type
-	// relayPhase is how much later than the small machines the others report.
+	relayGroup = 3 // machines in each of two groups
+	// relayPhase is how much later than the first group the second one reports.
 	relayPhase = 2100 * time.Millisecond
 )
 
 func runRelay(c *cluster, trouble bool) error {
-	var small, large []*worker
+	var first, second, all []*worker
 	for i := range relayGroup {
 		stagger := time.Duration(i) * 30 * time.Millisecond
-		s := c.cloud.add("kis", c.settings.zones[0], false, 0).worker
-		l := c.cloud.add("kozep", c.settings.zones[0], false, 0).worker
-		s.setPhase(stagger)
-		l.setPhase(relayPhase + stagger)
-		small, large = append(small, s), append(large, l)
+		early := c.cloud.add("kis", c.settings.zones[0], false, 0).worker
+		late := c.cloud.add("kis", c.settings.zones[0], false, 0).worker
+		early.setPhase(stagger)
+		late.setPhase(relayPhase + stagger)
+		first, second, all = append(first, early), append(second, late), append(all, early, late)
 	}
-	all := append(append([]*worker{}, small...), large...)
 	leader := -1
 	serves := func() bool {
 		node, fence := c.leader()
@@ -54,7 +53,7 @@
 	c.record("test", "leader %s", c.labels[leader])
 	if trouble {
 		// The answer to the last report of every worker is still to come.
-		pending := func() bool { return allPending(small, leader, 2*time.Second) && allPending(large, leader, 0) }
+		pending := func() bool { return allPending(first, leader, 2*time.Second) && allPending(second, leader, 0) }
 		if !waitFor(4*c.settings.report, pending) {
 			return errors.New("reports did not get in phase")
 		}
@@ -63,8 +62,8 @@
 		for _, w := range all {
 			w.direct.cut(true)
 		}
-		if !waitFor(10*time.Second, func() bool { return allPending(small, relay, 0) }) {
-			return errors.New("the small machines did not turn to the next controller")
+		if !waitFor(10*time.Second, func() bool { return allPending(first, relay, 0) }) {
+			return errors.New("the first group did not turn to the next controller")
 		}
 		time.Sleep(100 * time.Millisecond)
 		c.record("test", "TROUBLE %s and %s end", c.labels[relay], c.labels[third])
@@ -75,27 +74,27 @@
 			return err
 		}
 		time.AfterFunc(4*time.Second, func() { _ = c.startNode(third) })
-		if !waitFor(6*time.Second, func() bool { return allPending(large, relay, 0) }) {
-			return errors.New("the other machines did not turn to the next controller")
+		if !waitFor(6*time.Second, func() bool { return allPending(second, relay, 0) }) {
+			return errors.New("the second group did not turn to the next controller")
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	j := &job{
-		ID: "req-000001", Class: "match", Owner: "beosztas", Shape: "array", Rank: "normal", Shards: relayGroup,
-		Cores: 16, RAM: 8, Bundle: "img-01", ImageGB: 0.02, Flavors: []string{"kis"}, Expect: 8, runTime: 8 * time.Second,
+		ID: "req-000001", Class: "match", Owner: "beosztas", Shape: "array", Rank: "normal", Shards: 2 * relayGroup,
+		Cores: 16, RAM: 8, Bundle: "img-01", ImageGB: 0.02, Expect: 8, runTime: 8 * time.Second,
 	}
 	if !c.submitUntilAccepted(leader, j) {
 		return errors.New("the job was not accepted")
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(100 * time.Millisecond)
 	if trouble {
-		c.record("test", "trouble is over")
+		c.record("test", "the workers reach %s again", c.labels[leader])
 		c.workerPaths[leader].cut(false)
 		for _, w := range all {
 			w.direct.cut(false)
 		}
 	}
-	time.Sleep(9 * time.Second)
+	time.Sleep(12 * time.Second)
 	c.poll(leader, j.ID)
 	if !trouble && c.checker.startCount() == 0 {
 		return errors.New("no task was started")
