--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -4,4 +4,5 @@
 var scenarios = map[string]scenario{
 	"history": historyScenario,
 	"relay":   relayScenario,
+	"sweep":   sweepScenario,
 }
