--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -55,17 +55,18 @@
 	expires time.Time
 }
 
-// bucket is a token bucket that holds the tokens of one second.
+// bucket is a token bucket that holds the tokens of one second, or of burst seconds.
 type bucket struct {
-	rate, tokens float64
-	at           time.Time
+	rate, burst, tokens float64
+	at                  time.Time
 }
 
 func (b *bucket) take(now time.Time, n float64) bool {
+	size := b.rate * max(1, b.burst)
 	if !b.at.IsZero() {
-		b.tokens = min(b.rate, b.tokens+b.rate*now.Sub(b.at).Seconds())
+		b.tokens = min(size, b.tokens+b.rate*now.Sub(b.at).Seconds())
 	} else {
-		b.tokens = b.rate
+		b.tokens = size
 	}
 	b.at = now
 	if b.tokens < n {
