controller: log relayed heartbeats and their responses

The log couldn't tell whether the leader answered for the wrong machine, or the relaying controller handed the answer to the wrong worker: neither the ID of a relay nor its machine was logged.

--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -39,18 +39,20 @@
 		if !wasRelaying {
 			c.log.Info("relaying heartbeats of worker to leader", "machine", heartbeat.Machine, "leader", c.peers.list[leader].label)
 		}
-		c.relayHeartbeat(now, request, leader, out)
+		c.relayHeartbeat(now, request, heartbeat.Machine, leader, out)
 	case replyWithoutLeader:
 		out.Reply(request.Conn, httpwire.StatusMisdirectedRequest, nil)
 	}
 }
 
-// relayHeartbeat sends a worker's heartbeat to the leader over the peer link.
-func (c *Controller) relayHeartbeat(now event.Time, request event.Request, leader int, out *event.Effects) {
+// relayHeartbeat sends the heartbeat of a machine's worker to the leader over the peer link.
+func (c *Controller) relayHeartbeat(now event.Time, request event.Request, machine string, leader int, out *event.Effects) {
+	id := c.forwarding.relays.add(machine, request.Conn, now)
+	c.log.Debug("relayed heartbeat", "relay", id, "machine", machine, "leader", c.peers.list[leader].label)
 	out.SendFrame(leader, peer.Append(nil, &peer.Frame{
 		Kind:  peer.Relay,
 		Label: c.cfg.Label,
-		ID:    c.forwarding.relays.add(request.Conn, now),
+		ID:    id,
 		Body:  request.Body,
 	}))
 }
@@ -58,9 +60,14 @@
 // handleRelayAck sends the leader's response to a relayed heartbeat to the worker. It
 // ignores a response that arrives after the relay has expired.
 func (c *Controller) handleRelayAck(frame *peer.Frame, out *event.Effects) {
-	if relay, ok := c.forwarding.relays.remove(frame.ID); ok {
-		c.respond(replyTarget{conn: relay.conn}, int(frame.Status), frame.Body, out)
+	relay, ok := c.forwarding.relays.remove(frame.ID)
+	if !ok {
+		c.log.Debug("ignoring response to unknown relay", "relay", frame.ID, "leader", frame.Label, "status", frame.Status)
+		return
 	}
+	c.log.Debug("forwarding response to relayed heartbeat",
+		"relay", frame.ID, "machine", relay.machine, "leader", frame.Label, "status", frame.Status, "bytes", len(frame.Body))
+	c.respond(replyTarget{conn: relay.conn}, int(frame.Status), frame.Body, out)
 }
 
 // expireRelays replies with 503 to the workers whose relayed heartbeats the leader has
--- a/internal/controller/pending_relays.go
+++ b/internal/controller/pending_relays.go
@@ -21,6 +21,7 @@
 
 // pendingRelay is a relayed heartbeat that the leader has not answered yet.
 type pendingRelay struct {
+	machine   string     // machine of the worker
 	conn      uint64     // ID of the worker's connection
 	relayedAt event.Time // when the heartbeat was relayed
 }
@@ -29,10 +30,10 @@
 	return pendingRelays{byID: map[uint64]pendingRelay{}}
 }
 
-// add records a relayed heartbeat and returns its ID.
-func (p *pendingRelays) add(conn uint64, now event.Time) (id uint64) {
+// add records a relayed heartbeat of a machine and returns its ID.
+func (p *pendingRelays) add(machine string, conn uint64, now event.Time) (id uint64) {
 	p.lastID++
-	p.byID[p.lastID] = pendingRelay{conn: conn, relayedAt: now}
+	p.byID[p.lastID] = pendingRelay{machine: machine, conn: conn, relayedAt: now}
 	return p.lastID
 }
 
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -24,6 +24,7 @@
 	conn    uint64 // ID of the connection to this controller, if relayID is 0
 	peer    int    // index of the relaying peer, if relayID is not 0
 	relayID uint64 // the peer's ID of the relayed heartbeat, 0 if it was not relayed
+	machine string // machine of a relayed heartbeat, for the log
 }
 
 // relayed reports whether the heartbeat was relayed by a peer.
@@ -62,6 +63,9 @@
 		c.respond(replyTo, httpwire.StatusServiceUnavailable, nil, out)
 		return
 	}
+	replyTo.machine = heartbeat.Machine
+	c.log.Debug("handling relayed heartbeat", "relay", frame.ID, "peer", frame.Label, "machine", heartbeat.Machine,
+		"incarnation", heartbeat.Incarnation, "sequence", heartbeat.Sequence)
 	c.handleHeartbeatAsLeader(now, replyTo, heartbeat, out)
 }
 
@@ -103,6 +107,8 @@
 func (c *Controller) respond(to replyTarget, status int, body []byte, out *event.Effects) {
 	switch {
 	case to.relayed():
+		c.log.Debug("answering relayed heartbeat",
+			"relay", to.relayID, "peer", c.peers.list[to.peer].label, "machine", to.machine, "status", status, "bytes", len(body))
 		out.SendFrame(to.peer, peer.Append(nil, &peer.Frame{
 			Kind:   peer.RelayAck,
 			Label:  c.cfg.Label,
