controller: IDs of relays are new after a restart

Cause: each process numbered its relays from 1, and the leader's response names a relay by that number and the sender's label only. The leader may hold a response for 2.5 s. After the restart, a response to a relay of the earlier process was taken for the response to a relay of the new one and passed to another worker, which executed the start commands in it and renewed its lease.

Change: an ID is the time of day in Unix ns, or the last ID plus 1 if that is greater, and a process relays nothing for its first 2 skew_ms + 100 ms. The time of day is within skew_ms of true time, so the first ID of a process is above every ID of a process that ended before it began, however short the time between them. Late and repeated responses name an ID that isn't pending and are ignored. The leader returns IDs unchanged, in the version in production too, and that version's own IDs, counted from 1, are far below, so an upgrade or a downgrade of one controller mixes nothing up either. skew_ms, which is used for the first time, must not be negative.

The simulation's checker now reports a start command that reaches a machine without a persisted assignment of that attempt.

TestPendingRelays expected the IDs 1, 2 and 3, that is the fault itself.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -177,9 +177,17 @@
 }
 
 func (p *Platform) checkTimes() error {
-	if lag := p.Settings.Cloud.ListLagS; lag < 0 {
-		return newError(Error{Key: "settings.cloud.list_lag_s", Expected: "a non-negative number", Found: fmt.Sprint(lag)},
-			"settings.cloud.list_lag_s: expected a non-negative number, found %v", lag)
+	for _, s := range []struct {
+		key   string
+		value float64
+	}{
+		{"settings.cloud.list_lag_s", p.Settings.Cloud.ListLagS},
+		{"settings.skew_ms", p.Settings.SkewMS},
+	} {
+		if s.value < 0 {
+			return newError(Error{Key: s.key, Expected: "a non-negative number", Found: fmt.Sprint(s.value)},
+				"%s: expected a non-negative number, found %v", s.key, s.value)
+		}
 	}
 	// The tasks of a cancelled job must end within cancel_s, even if the leader loses
 	// its connection to the state service. In that case the leader may keep its
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -26,6 +26,7 @@
 		{"zero", `"txn_ops":8`, `"txn_ops":0`, "state.txn_ops", "settings.state.txn_ops", "a positive number", "0"},
 		{"cancel_s too short", `"cancel_s":60`, `"cancel_s":20`, "cancel_s", "settings.workers.cancel_s", "more than 30", "20"},
 		{"negative lag", `"list_lag_s":0`, `"list_lag_s":-1`, "settings.cloud.list_lag_s: expected a non-negative number, found -1", "settings.cloud.list_lag_s", "a non-negative number", "-1"},
+		{"negative skew", `"list_lag_s":0}`, `"list_lag_s":0},"skew_ms":-1`, "settings.skew_ms: expected a non-negative number, found -1", "settings.skew_ms", "a non-negative number", "-1"},
 		{"negative amount of a team", `{"name":"t"}`, `{"name":"t","gpus":-1}`, "team", "settings.teams", "names and non-negative amounts", "team t"},
 		{"string for a number", `"rps":8`, `"rps":"x"`, "settings.state.rps: expected a number, found string", "settings.state.rps", "a number", "string"},
 		{"number for a string", `"label":"a"`, `"label":5`, "label: expected a string", "label", "a string", "number"},
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -1,6 +1,11 @@
 package config
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
+
+const msPerSecond = 1000
 
 // Seed is another controller.
 type Seed struct {
@@ -114,9 +119,13 @@
 	State      StateLimits    `json:"state"`
 	Cloud      CloudLimits    `json:"cloud"`
 	Resources  Resources      `json:"resources"`
-	SkewMS     float64        `json:"skew_ms"`
+	SkewMS     float64        `json:"skew_ms"` // greatest difference between a clock's time of day and true time
 }
 
+// ClockSkew returns the greatest difference between the time of day of a controller's clock
+// and true time.
+func (s *Settings) ClockSkew() time.Duration { return Seconds(s.SkewMS / msPerSecond) }
+
 // Services holds the addresses and ports of the services that a controller calls.
 type Services struct {
 	Cloud string `json:"cloud"`
--- a/internal/controller/build.go
+++ b/internal/controller/build.go
@@ -41,7 +41,7 @@
 		leadership:   newLeadership(roundBudget{clock, time.Duration(cfg.Operator.Scheduler.RoundBudget)}),
 		peers:        newPeerTable(cfg.Seeds),
 		heartbeats:   newWorkerHeartbeats(cfg.Settings.Resources.MaxConnections),
-		forwarding:   newForwarding(),
+		forwarding:   newForwarding(cfg.Settings.ClockSkew()),
 		version:      newVersionPublication(cfg.Label, sortedLabels(cfg)),
 		machineSweep: periodic{interval: machineSweepInterval},
 	}
--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"time"
+
 	"lugward/internal/event"
 	"lugward/internal/httpwire"
 	"lugward/internal/peer"
@@ -11,11 +13,14 @@
 // relay their heartbeats.
 type forwarding struct {
 	routes workerRoutes
+	ids    relayIDs
 	relays pendingRelays
 }
 
-func newForwarding() forwarding {
-	return forwarding{relays: newPendingRelays()}
+// newForwarding returns the state of a process that has just started. clockSkew is the
+// greatest difference between the time of day and true time.
+func newForwarding(clockSkew time.Duration) forwarding {
+	return forwarding{ids: newRelayIDs(clockSkew), relays: newPendingRelays()}
 }
 
 // forwardToLeader redirects a worker to the leader or relays its heartbeat to the
@@ -24,7 +29,7 @@
 // link. Thus no worker loses its lease in a partition between two zones as long as one
 // controller reaches both sides. The leader handles relayed heartbeats like direct ones.
 // A relayed heartbeat that arrives late does no harm: it is handled like any outdated
-// heartbeat.
+// heartbeat. A process that has just started relays nothing, see relayIDs.
 func (c *Controller) forwardToLeader(now event.Time, request event.Request, heartbeat *worker.Heartbeat, out *event.Effects) {
 	leaderToken := c.election.LeaderFencingToken()
 	leader, leaderAlive := c.peers.aliveByLabel(c.election.Leader())
@@ -32,7 +37,8 @@
 	route := c.forwarding.routes.getOrCreate(heartbeat.Machine)
 	wasRelaying := route.relaying()
 	servedByLeader := heartbeat.FencingToken != 0 && heartbeat.FencingToken == leaderToken
-	switch route.nextAction(now, servedByLeader, leaderAlive) {
+	mayRelay := leaderAlive && c.forwarding.ids.available(now)
+	switch route.nextAction(now, servedByLeader, mayRelay) {
 	case redirectToLeader:
 		c.redirectToLeader(request.Conn, out)
 	case relayToLeader:
@@ -47,7 +53,8 @@
 
 // relayHeartbeat sends the heartbeat of a machine's worker to the leader over the peer link.
 func (c *Controller) relayHeartbeat(now event.Time, request event.Request, machine string, leader int, out *event.Effects) {
-	id := c.forwarding.relays.add(machine, request.Conn, now)
+	id := c.forwarding.ids.next(c.jobs.UnixNano(now))
+	c.forwarding.relays.add(id, pendingRelay{machine: machine, conn: request.Conn, relayedAt: now})
 	c.log.Debug("relayed heartbeat", "relay", id, "machine", machine, "leader", c.peers.list[leader].label)
 	out.SendFrame(leader, peer.Append(nil, &peer.Frame{
 		Kind:  peer.Relay,
@@ -58,7 +65,8 @@
 }
 
 // handleRelayAck sends the leader's response to a relayed heartbeat to the worker. It
-// ignores a response that arrives after the relay has expired.
+// ignores a response that arrives after the relay has expired, a repeated response, and a
+// response to a relay of an earlier process of this controller.
 func (c *Controller) handleRelayAck(frame *peer.Frame, out *event.Effects) {
 	relay, ok := c.forwarding.relays.remove(frame.ID)
 	if !ok {
--- a/internal/controller/pending_relays.go
+++ b/internal/controller/pending_relays.go
@@ -15,8 +15,7 @@
 // pendingRelays holds the heartbeats of workers that this controller has relayed to the
 // leader and that the leader has not answered yet.
 type pendingRelays struct {
-	byID   map[uint64]pendingRelay
-	lastID uint64 // IDs start at 1
+	byID map[uint64]pendingRelay
 }
 
 // pendingRelay is a relayed heartbeat that the leader has not answered yet.
@@ -30,12 +29,8 @@
 	return pendingRelays{byID: map[uint64]pendingRelay{}}
 }
 
-// add records a relayed heartbeat of a machine and returns its ID.
-func (p *pendingRelays) add(machine string, conn uint64, now event.Time) (id uint64) {
-	p.lastID++
-	p.byID[p.lastID] = pendingRelay{machine: machine, conn: conn, relayedAt: now}
-	return p.lastID
-}
+// add records a relayed heartbeat under its ID, which relayIDs has assigned.
+func (p *pendingRelays) add(id uint64, relay pendingRelay) { p.byID[id] = relay }
 
 // remove removes an answered relay and returns it. ok is false if it has expired.
 func (p *pendingRelays) remove(id uint64) (relay pendingRelay, ok bool) {
--- a/internal/controller/pending_relays_test.go
+++ b/internal/controller/pending_relays_test.go
@@ -9,12 +9,10 @@
 func TestPendingRelays(t *testing.T) {
 	relays := newPendingRelays()
 	begin := time.Minute
-	first := relays.add("m-11", 11, begin)
-	second := relays.add("m-12", 12, begin+time.Second)
-	third := relays.add("m-13", 13, begin+time.Second)
-	if first != 1 || second != 2 || third != 3 {
-		t.Errorf("got relay IDs %d, %d and %d, want 1, 2 and 3", first, second, third)
-	}
+	const first, second, third, fourth = 1, 2, 3, 4
+	relays.add(first, pendingRelay{machine: "m-11", conn: 11, relayedAt: begin})
+	relays.add(second, pendingRelay{machine: "m-12", conn: 12, relayedAt: begin + time.Second})
+	relays.add(third, pendingRelay{machine: "m-13", conn: 13, relayedAt: begin + time.Second})
 	if relay, ok := relays.remove(second); !ok || relay.conn != 12 || relay.machine != "m-12" {
 		t.Errorf("remove(%d) = %+v, %v; want connection 12 of machine m-12, true", second, relay, ok)
 	}
@@ -24,7 +22,7 @@
 	if expired := relays.drainExpired(begin + relayTimeout); len(expired) != 0 {
 		t.Errorf("drainExpired = %+v at the timeout, want none", expired)
 	}
-	relays.add("m-14", 14, begin+relayTimeout)
+	relays.add(fourth, pendingRelay{machine: "m-14", conn: 14, relayedAt: begin + relayTimeout})
 	want := []pendingRelay{{machine: "m-11", conn: 11, relayedAt: begin}, {machine: "m-13", conn: 13, relayedAt: begin + time.Second}}
 	if expired := relays.drainExpired(begin + time.Second + relayTimeout + 1); !slices.Equal(expired, want) {
 		t.Errorf("drainExpired = %+v, want %+v", expired, want)
--- a/internal/controller/worker_routes.go
+++ b/internal/controller/worker_routes.go
@@ -67,16 +67,16 @@
 func (r *workerRoute) relaying() bool { return r.relayingSince != 0 }
 
 // nextAction returns the action for a heartbeat of the worker and records a redirect or
-// relay. servedByLeader means that the leader has served the worker in this term,
-// leaderAlive that this controller can reach the leader.
-func (r *workerRoute) nextAction(now event.Time, servedByLeader, leaderAlive bool) routeAction {
+// relay. servedByLeader means that the leader has served the worker in this term, mayRelay
+// that this controller can reach the leader and relay heartbeats to it.
+func (r *workerRoute) nextAction(now event.Time, servedByLeader, mayRelay bool) routeAction {
 	// A worker that the leader has served contacts another controller only because the
 	// leader did not answer. Redirecting it to the leader first would cost seconds in
 	// which no task can start on its machine.
 	leaderUnreachable := servedByLeader || now-r.routedAt < redirectWindow
 	relayExpired := r.relaying() && now-r.relayingSince > relayDuration
 	switch {
-	case leaderUnreachable && !leaderAlive:
+	case leaderUnreachable && !mayRelay:
 		return replyWithoutLeader
 	case !leaderUnreachable || relayExpired:
 		r.routedAt = now
--- a/internal/pipeline/clock.go
+++ b/internal/pipeline/clock.go
@@ -25,13 +25,19 @@
 	c.clockOffset = wall.UnixNano() - int64(now)
 }
 
-// UnixMS returns the wall-clock time at a monotonic time, in Unix ms, or zero if it is not
-// known yet.
-func (c *clock) UnixMS(now event.Time) int64 {
+// UnixNano returns the wall-clock time at a monotonic time, in Unix ns, or zero if it is
+// not known yet.
+func (c *clock) UnixNano(now event.Time) int64 {
 	if c.clockOffset == 0 {
 		return 0
 	}
-	return (c.clockOffset + int64(now)) / int64(time.Millisecond)
+	return c.clockOffset + int64(now)
+}
+
+// UnixMS returns the wall-clock time at a monotonic time, in Unix ms, or zero if it is not
+// known yet.
+func (c *clock) UnixMS(now event.Time) int64 {
+	return c.UnixNano(now) / int64(time.Millisecond)
 }
 
 // monotonicTime converts a stored time in Unix ms to a monotonic time. The result is never
--- a/internal/simtest/checker.go
+++ b/internal/simtest/checker.go
@@ -9,14 +9,17 @@
 )
 
 // Checker checks the invariants of the protocol. It observes only what workers execute
-// and which answers users get, and ignores the records that controllers store. The one
-// exception is the done record of a job: no downstream job may start before it exists.
+// and which answers users get, and ignores the records that controllers store, with two
+// exceptions. No downstream job may start before the done record of its upstream job exists.
+// No machine may be commanded to start a task that no run record has assigned to it.
 type Checker struct {
 	world          *World
 	Violations     []string                     // in order of detection, each with its virtual time
 	faultsOverAt   time.Duration                // when the last fault ended; zero while faults may occur
 	instances      map[string][]*taskAssignment // started attempts that may still be on machines, by task
 	upstreamDoneAt map[string]time.Duration     // when all upstream jobs of a job were done, by job ID
+	// assignedMachine holds the machine of each attempt that a run record has ever listed.
+	assignedMachine map[attemptKey]string
 	answerHistory
 	cancellations
 	placeableJobs
@@ -46,9 +49,10 @@
 
 func newChecker(world *World) *Checker {
 	return &Checker{
-		world:          world,
-		instances:      map[string][]*taskAssignment{},
-		upstreamDoneAt: map[string]time.Duration{},
+		world:           world,
+		instances:       map[string][]*taskAssignment{},
+		upstreamDoneAt:  map[string]time.Duration{},
+		assignedMachine: map[attemptKey]string{},
 		answerHistory: answerHistory{
 			acknowledgedPhase: map[string]string{},
 			acknowledgedAt:    map[string]time.Duration{},
--- a/internal/simtest/checker_test.go
+++ b/internal/simtest/checker_test.go
@@ -27,6 +27,21 @@
 			startOnMachine(world, job, 0, machineIdentity{machineType: "small", zone: "b"})
 		},
 	},
+	{
+		name: "start command without an assignment",
+		want: `start command reached a machine without the assignment: task req-000001/0 attempt 1 is commanded on i-a, but assigned to ""`,
+		act: func(world *World, job *jobRecord) {
+			commandStart(world, job, smallMachine("i-a", "a"))
+		},
+	},
+	{
+		name: "start command on a machine other than the assigned one",
+		want: `start command reached a machine without the assignment: task req-000001/0 attempt 1 is commanded on i-a, but assigned to "i-b"`,
+		act: func(world *World, job *jobRecord) {
+			world.stateService.putValue(runKeyPrefix+job.id+"/0", `{"t":1,"a":[[0,1,"i-b"]]}`)
+			commandStart(world, job, smallMachine("i-a", "a"))
+		},
+	},
 	{
 		name: "team over its limit",
 		want: "team limit exceeded: team red uses",
--- a/internal/simtest/fixtures_test.go
+++ b/internal/simtest/fixtures_test.go
@@ -1,7 +1,5 @@
 package simtest
 
-import "fmt"
-
 // smallMachine returns the identity of a machine of the smallest type.
 func smallMachine(name, zone string) machineIdentity {
 	return machineIdentity{name: name, addr: name, machineType: "small", zone: zone}
@@ -24,5 +22,9 @@
 	return assignment
 }
 
-// taskName returns the name of a task of a job.
-func taskName(id string, index int) string { return fmt.Sprintf("%s/%d", id, index) }
+// commandStart commands a new machine to start the first attempt of the first task of a job.
+func commandStart(world *World, job *jobRecord, machine machineIdentity) {
+	worker := &fakeWorker{world: world, machineIdentity: machine, up: true, assignments: map[string]*taskAssignment{}}
+	world.workers[machine.addr] = worker
+	worker.executeCommands([]taskCommand{{Verb: "start", Task: taskName(job.id, 0), Attempt: 1}})
+}
--- a/internal/simtest/recording.go
+++ b/internal/simtest/recording.go
@@ -178,7 +178,7 @@
 	}
 	service.keys = map[string]storedValue{}
 	for _, key := range recording.Keys {
-		service.keys[key.Key] = storedValue{data: key.Data, modRevision: key.ModRevision, leaseID: key.LeaseID}
+		service.setValue(key.Key, storedValue{data: key.Data, modRevision: key.ModRevision, leaseID: key.LeaseID})
 	}
 }
 
--- a/internal/simtest/state_service.go
+++ b/internal/simtest/state_service.go
@@ -138,7 +138,7 @@
 			service.log = append(service.log, changeEvent{Drop: operation.Drop, ModRevision: service.revision})
 			continue
 		}
-		service.keys[operation.Write] = storedValue{operation.Data, service.revision, operation.LeaseID}
+		service.setValue(operation.Write, storedValue{operation.Data, service.revision, operation.LeaseID})
 		service.log = append(service.log, changeEvent{Write: operation.Write, Data: operation.Data, ModRevision: service.revision})
 	}
 	service.notifyWatchers()
@@ -158,10 +158,16 @@
 	}
 }
 
+// setValue sets the value of a key. It neither logs the change nor notifies watchers.
+func (service *fakeStateService) setValue(key string, value storedValue) {
+	service.keys[key] = value
+	service.world.checker.recordAssignments(key, value.data)
+}
+
 // putValue writes a raw value without preconditions. It does not notify watchers.
 func (service *fakeStateService) putValue(key, data string) {
 	service.revision++
-	service.keys[key] = storedValue{data: json.RawMessage(data), modRevision: service.revision}
+	service.setValue(key, storedValue{data: json.RawMessage(data), modRevision: service.revision})
 	service.log = append(service.log, changeEvent{Write: key, Data: json.RawMessage(data), ModRevision: service.revision})
 }
 
--- a/internal/simtest/worker_commands.go
+++ b/internal/simtest/worker_commands.go
@@ -40,6 +40,7 @@
 		switch command.Verb {
 		case "start":
 			if !known {
+				worker.world.checker.checkAssigned(worker, command)
 				worker.startTask(command)
 			}
 		case "stop":
--- a/internal/simtest/worker_tasks.go
+++ b/internal/simtest/worker_tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -20,6 +21,9 @@
 	generation       int           // incremented to invalidate scheduled events
 }
 
+// taskName returns the name of a task of a job.
+func taskName(id string, index int) string { return id + "/" + strconv.Itoa(index) }
+
 // isExecuting reports whether the task executes on the machine: it waits for its gang, runs or
 // stores a checkpoint.
 func (assignment *taskAssignment) isExecuting() bool {
