simtest: random faults restart relaying controllers and repeat frames

Numbers that a real process begins anew (connections, calls) went on across restarts of a simulated one, and all clocks agreed.

Change: - restartRelayingControllers cuts the leader off from all workers and restarts the other controllers again and again, each down for 0.05 to 1.05 s, while machines are idle and jobs come. - repeatFrames delivers late copies of frames between controllers, also to a later process. - IDs of connections and calls begin anew with each process; its time of day is drawn within the skew. - The checker reports an ID under which a controller relays twice. - TestSeedsThatBroke draws from the kinds of faults that existed when a seed broke, so that new kinds change none of its runs. Two seeds are added.

--- a/internal/simtest/checker.go
+++ b/internal/simtest/checker.go
@@ -9,9 +9,10 @@
 )
 
 // Checker checks the invariants of the protocol. It observes only what workers execute
-// and which answers users get, and ignores the records that controllers store, with two
-// exceptions. No downstream job may start before the done record of its upstream job exists.
-// No machine may be commanded to start a task that no run record has assigned to it.
+// and which answers users get, and ignores what controllers store and what they send each
+// other, with three exceptions. No downstream job may start before the done record of its
+// upstream job exists. No machine may be commanded to start a task that no run record has
+// assigned to it. No controller may relay two heartbeats under the same ID.
 type Checker struct {
 	world          *World
 	Violations     []string                     // in order of detection, each with its virtual time
@@ -20,6 +21,7 @@
 	upstreamDoneAt map[string]time.Duration     // when all upstream jobs of a job were done, by job ID
 	// assignedMachine holds the machine of each attempt that a run record has ever listed.
 	assignedMachine map[attemptKey]string
+	relayIDs        relayIDs
 	answerHistory
 	cancellations
 	placeableJobs
@@ -53,6 +55,7 @@
 		instances:       map[string][]*taskAssignment{},
 		upstreamDoneAt:  map[string]time.Duration{},
 		assignedMachine: map[attemptKey]string{},
+		relayIDs:        newRelayIDs(),
 		answerHistory: answerHistory{
 			acknowledgedPhase: map[string]string{},
 			acknowledgedAt:    map[string]time.Duration{},
--- a/internal/simtest/checker_test.go
+++ b/internal/simtest/checker_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"lugward/internal/peer"
 )
 
 // startOnMachine starts a task of a job on a new machine without checking any placement constraint.
@@ -42,6 +44,15 @@
 			commandStart(world, job, smallMachine("i-a", "a"))
 		},
 	},
+	{
+		name: "two heartbeats relayed under one ID",
+		want: "ID of relayed heartbeat used twice: controller n0 relays a heartbeat under ID 7, which it has used before",
+		act: func(world *World, _ *jobRecord) {
+			for _, id := range []uint64{7, 8, 7} {
+				world.checker.checkRelayID("n0", peer.Append(nil, &peer.Frame{Kind: peer.Relay, Label: "n0", ID: id}))
+			}
+		},
+	},
 	{
 		name: "team over its limit",
 		want: "team limit exceeded: team red uses",
--- a/internal/simtest/controller.go
+++ b/internal/simtest/controller.go
@@ -22,6 +22,7 @@
 	incarnation int // number of starts so far
 	up          bool
 	startedAt   time.Duration
+	clockError  time.Duration // difference of this incarnation's time of day from true time
 	connections
 	pauseState
 	watchBlocked bool // watch requests to the state service get no response; other requests do
@@ -48,7 +49,8 @@
 	return fmt.Sprintf("10.0.0.%d:8080", process.index+1)
 }
 
-// boot starts the controller with empty state.
+// boot starts the controller with empty state. As in a real process, the IDs of connections
+// and calls begin anew, and the time of day may have changed within the clock skew.
 func (process *controllerProcess) boot() {
 	cfg := *process.world.config
 	cfg.Label, cfg.Seeds = process.name, nil
@@ -59,10 +61,11 @@
 	}
 	process.incarnation++
 	process.up, process.startedAt = true, process.world.now
-	process.pendingRequests = map[uint64]func(int, []byte){}
+	process.clockError = process.world.drawClockError()
+	process.pendingRequests, process.lastRequest = map[uint64]func(int, []byte){}, 0
 	process.connectedWorkers = map[string]bool{}
 	process.controller = controller.New(&cfg, process.world.log.With("controller", process.name, "incarnation", process.incarnation), nil)
-	process.effects.Reset()
+	process.effects = event.Effects{}
 	process.tick(process.incarnation)
 }
 
@@ -90,7 +93,7 @@
 	}
 	if !process.paused {
 		process.step(func(now event.Time) {
-			process.controller.SetWallClock(now, worldStartTime.Add(process.world.now))
+			process.controller.SetWallClock(now, worldStartTime.Add(process.world.now+process.clockError))
 			process.controller.Tick(now, &process.effects)
 		})
 	}
@@ -165,8 +168,8 @@
 		process.sendCall(call, incarnation)
 	}
 	for _, frame := range frames {
-		receiver := process.peer(frame.Peer)
-		process.world.network.send(process.name, receiver.name, func() { receiver.handleFrame(frame.Data) })
+		process.world.checker.checkRelayID(process.name, frame.Data)
+		process.world.network.sendFrame(process, process.peer(frame.Peer), frame.Data)
 	}
 }
 
--- a/internal/simtest/network.go
+++ b/internal/simtest/network.go
@@ -30,6 +30,8 @@
 	lateRepeatShare float64       // share of POST calls of controllers that are executed a second time, later
 	duplicateShare  float64       // share of heartbeats of which a copy arrives later at a random controller
 	duplicateDelay  time.Duration // maximum delay of such a copy
+
+	frameRepeatShare float64 // share of frames between controllers of which a copy arrives later
 }
 
 // requestDelays configures delays of requests and responses.
@@ -78,6 +80,16 @@
 	network.world.schedule(time.Millisecond+time.Duration(network.world.random.Int64N(int64(4*time.Millisecond))), action)
 }
 
+// sendFrame sends a frame from one controller to another. A copy may arrive late, also at a later
+// process of the receiver.
+func (network *fakeNetwork) sendFrame(sender, receiver *controllerProcess, data []byte) {
+	deliver := func() { receiver.handleFrame(data) }
+	network.send(sender.name, receiver.name, deliver)
+	if network.world.chance(network.frameRepeatShare) {
+		network.world.schedule(network.world.randomDuration(0, maxRepeatDelay), deliver)
+	}
+}
+
 // sendDelayed sends a packet after an additional delay.
 func (network *fakeNetwork) sendDelayed(delay time.Duration, from, receiver string, action func()) {
 	if delay == 0 {
--- a/internal/simtest/random_faults_test.go
+++ b/internal/simtest/random_faults_test.go
@@ -18,12 +18,13 @@
 type randomFault func(world *World, process *controllerProcess, duration time.Duration)
 
 // randomFaults are drawn with equal probability. Entries that are listed twice are drawn
-// more often.
+// more often. New faults are added at the end, see World.faultKinds.
 var randomFaults = [...]randomFault{
 	restart, restart, disconnectState, disconnectWorkers, stateOutage, failMachine, cloudOutage, machinesNeverBoot,
 	noFault, restartSeveral, blockInboundOfOne, isolateLeader, pauseController, lateWrites, delayHeartbeats, delayCommands,
 	blockHeartbeatsOfSome, injectLeaderLossDuringOutage, injectLeaderLossDuringOutage, cancelSome, cancelAtCompletion, invalidRequests, churnLeaders, disconnectZone,
-	restartAllAfterLease, blockInboundOfSome, slowState, blockWatch,
+	restartAllAfterLease, blockInboundOfSome, slowState, blockWatch, restartRelayingControllers, restartRelayingControllers,
+	repeatFrames,
 }
 
 // injectRandomFault injects one random fault, which ends by itself.
@@ -31,7 +32,11 @@
 	process := world.controllers[world.random.IntN(len(world.controllers))]
 	duration := seconds(0.1 + world.random.Float64()*20)
 	world.extendFaults(duration)
-	randomFaults[world.random.IntN(len(randomFaults))](world, process, duration)
+	kinds := len(randomFaults)
+	if world.faultKinds > 0 {
+		kinds = world.faultKinds
+	}
+	randomFaults[world.random.IntN(kinds)](world, process, duration)
 }
 
 // noFault injects nothing, so that some faults occur alone.
@@ -108,6 +113,67 @@
 	world.schedule(duration, func() { setCut(false) })
 }
 
+// restartRelayingControllers disconnects the leader from all workers, so that other controllers
+// relay their heartbeats, and restarts these controllers again and again. Each is back within a
+// second, while the leader may still hold responses to heartbeats that the earlier process has
+// relayed. Idle machines and jobs let the leader send start commands meanwhile.
+func restartRelayingControllers(world *World, _ *controllerProcess, duration time.Duration) {
+	leader := world.leader()
+	if leader == nil {
+		return
+	}
+	duration += 2 * heartbeatTimeout
+	world.extendFaults(duration)
+	for range 3 {
+		world.cloud.addMachine("small", []string{"a", "b"}[world.random.IntN(2)], false, 0)
+	}
+	disconnectWorkers(world, leader, duration)
+	world.restartOthersUntil(leader, world.now+duration)
+}
+
+// restartOthersUntil restarts all controllers but one at random times until the given time, and
+// lets a user submit a job while they are back for a moment.
+func (world *World) restartOthersUntil(leader *controllerProcess, end time.Duration) {
+	world.schedule(seconds(1+world.random.Float64()*2), func() {
+		if world.now >= end {
+			return
+		}
+		for _, process := range world.controllers {
+			if process != leader && process.up {
+				process.kill()
+				world.bootAfter(process, seconds(0.05+world.random.Float64()))
+			}
+		}
+		world.schedule(seconds(0.5+world.random.Float64()*2), world.submitFaultJob)
+		world.restartOthersUntil(leader, end)
+	})
+}
+
+// firstFaultJob is the number of the first job that a random fault submits.
+const firstFaultJob = 900_000
+
+// submitFaultJob submits an array of short tasks in the background.
+func (world *World) submitFaultJob() {
+	id := jobID(firstFaultJob + len(world.faultJobs))
+	world.faultJobs = append(world.faultJobs, id)
+	world.users.submitRecorded(Arguments{"id": id, "tasks": fmt.Sprint(1 + world.random.IntN(6)), "run": "2s"})
+}
+
+// acceptedFaultJobs waits until the submissions of random faults are decided and returns the
+// jobs that were accepted.
+func (world *World) acceptedFaultJobs() (accepted []string) {
+	world.users.waitForRecordedAnswers(2 * userRetry)
+	for _, id := range world.faultJobs {
+		if world.checker.acknowledgedPhase[id] == "" {
+			world.users.Poll(id) // its user stopped retrying, but the job may have been accepted
+		}
+		if world.checker.acknowledgedPhase[id] != "" {
+			accepted = append(accepted, id)
+		}
+	}
+	return accepted
+}
+
 // disconnectZone isolates the workers of a zone and a controller for longer than the workers'
 // leases last.
 func disconnectZone(world *World, process *controllerProcess, duration time.Duration) {
@@ -150,6 +216,11 @@
 	world.setShareFor(&world.network.delayedCommandShare, 0.5, duration)
 }
 
+// repeatFrames delivers a late copy of 30 % of the frames between controllers.
+func repeatFrames(world *World, _ *controllerProcess, duration time.Duration) {
+	world.setShareFor(&world.network.frameRepeatShare, 0.3, duration)
+}
+
 // failMachine lets a random machine with tasks crash, hang or be terminated by the cloud.
 func failMachine(world *World, _ *controllerProcess, duration time.Duration) {
 	assignments := world.checker.executingAssignments()
@@ -282,12 +353,26 @@
 	})
 }
 
-// TestSeedsThatBroke repeats random runs that violated an invariant in long trials.
+// Numbers of the kinds of random faults, before and after those of relays and frames were added.
+const (
+	faultKindsBeforeRelays = 28
+	faultKindsWithRelays   = 31
+)
+
+// TestSeedsThatBroke repeats random runs that violated an invariant in long trials, each with
+// the kinds of faults that existed then.
 func TestSeedsThatBroke(t *testing.T) {
-	for _, seed := range []uint64{
-		27732, // all machines terminated: every leader resigned before it had established that the machines are unresponsive
-		25980, // a term began before the watch cache contained all earlier writes
+	for _, broke := range []struct {
+		seed       uint64
+		faultKinds int
+	}{
+		{27732, faultKindsBeforeRelays}, // all machines terminated: every leader resigned before it had established that the machines are unresponsive
+		{25980, faultKindsBeforeRelays}, // a term began before the watch cache contained all earlier writes
+		{526, faultKindsWithRelays},     // responses to relays of an earlier process reached other workers
+		{2388, faultKindsWithRelays},    // the same
 	} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomJobs(t, seed) })
+		t.Run(fmt.Sprint(broke.seed), func(t *testing.T) {
+			runRandomJobsWith(t, broke.seed, randomJobsOptions{faultKinds: broke.faultKinds})
+		})
 	}
 }
--- a/internal/simtest/random_jobs_test.go
+++ b/internal/simtest/random_jobs_test.go
@@ -60,12 +60,21 @@
 	Errorf(format string, args ...any)
 }
 
+// randomJobsOptions are the options of a run of random jobs.
+type randomJobsOptions struct {
+	observer   WireObserver // gets all messages; nil if they are not observed
+	faultKinds int          // see World.faultKinds
+}
+
 // runRandomJobs runs random jobs under random faults and checks all invariants.
-func runRandomJobs(reporter errorReporter, seed uint64) { runRandomJobsObserved(reporter, seed, nil) }
+func runRandomJobs(reporter errorReporter, seed uint64) {
+	runRandomJobsWith(reporter, seed, randomJobsOptions{})
+}
 
-// runRandomJobsObserved is runRandomJobs with an observer of all messages.
-func runRandomJobsObserved(reporter errorReporter, seed uint64, observer WireObserver) {
-	world := NewWith(Options{Controllers: 3, Seed: seed, Log: controllerLog(), Observer: observer})
+// runRandomJobsWith is runRandomJobs with options.
+func runRandomJobsWith(reporter errorReporter, seed uint64, options randomJobsOptions) {
+	world := NewWith(Options{Controllers: 3, Seed: seed, Log: controllerLog(), Observer: options.observer})
+	world.faultKinds = options.faultKinds
 	world.watchInvariants()
 	world.startRandomFaults()
 	var accepted []string
@@ -84,6 +93,7 @@
 		}
 	}
 	world.endAllFaults()
+	accepted = append(accepted, world.acceptedFaultJobs()...)
 	world.cancelDaemons(accepted)
 	world.pollUntilEnded(accepted)
 	world.checkAllEnded(reporter, seed, accepted)
@@ -189,6 +199,7 @@
 	world.cloud.bootFailures, world.cloud.down = 0, false
 	world.network.lossShare, world.network.lateRepeatShare, world.network.duplicateShare = 0, 0, 0
 	world.network.lateWriteShare, world.network.delayedHeartbeatShare, world.network.delayedCommandShare = 0, 0, 0
+	world.network.frameRepeatShare = 0
 	world.users.cancelAtEnd, world.users.invalidRequests = 0, false
 	world.Run(maxDelay) // delayed messages arrive
 	world.checker.faultsOverAt = world.now
--- a/internal/simtest/random_pipelines_test.go
+++ b/internal/simtest/random_pipelines_test.go
@@ -57,6 +57,7 @@
 	world.endAllFaults()
 	world.users.waitForRecordedAnswers(2 * userRetry)
 	world.stateService.writesToDelay = 0
+	run.all = append(run.all, world.acceptedFaultJobs()...)
 	run.pollUntilEnded()
 	run.checkFinalPhases()
 	world.Run(150 * time.Second)
--- a/internal/simtest/wire_record_test.go
+++ b/internal/simtest/wire_record_test.go
@@ -98,7 +98,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			recorder := newRecorder(t, name)
-			runRandomJobsObserved(t, seed, recorder.observe)
+			runRandomJobsWith(t, seed, randomJobsOptions{observer: recorder.observe})
 			recorder.close(t, name)
 		})
 	}
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -46,10 +46,13 @@
 	network         *fakeNetwork
 	users           *fakeUsers
 	faultsEndAt     time.Duration // end of the last randomly drawn fault
+	faultJobs       []string      // jobs that randomly drawn faults have submitted
+	faultKinds      int           // random faults are drawn from this many kinds, the oldest; zero means all
 	limitsAnnounced bool          // the settings announce the next limits of the state service
 	limitViolations []string      // requests of controllers that violate the limits or the protocol
 	log             *slog.Logger
 	observer        WireObserver // optional
+	clocks          *rand.Rand   // draws the errors of the controllers' clocks
 }
 
 // Settings are the default JSON settings of a simulated deployment.
@@ -99,6 +102,7 @@
 		limitsAnnounced: strings.Contains(settings, `"next":`),
 		log:             slog.New(slog.NewTextHandler(options.Log, &slog.HandlerOptions{Level: slog.LevelInfo})),
 		observer:        options.Observer,
+		clocks:          rand.New(rand.NewPCG(options.Seed, 2)),
 	}
 	world.stateService, world.cloud, world.checker = newStateService(world), newCloud(world), newChecker(world)
 	world.network, world.users = newNetwork(world), newUsers(world)
@@ -117,6 +121,13 @@
 	world.limitViolations = append(world.limitViolations, fmt.Sprintf(format, values...))
 }
 
+// drawClockError draws the difference of a clock's time of day from true time, within the
+// clock skew of the settings.
+func (world *World) drawClockError() time.Duration {
+	skew := world.config.Settings.ClockSkew()
+	return time.Duration(world.clocks.Int64N(int64(2*skew+1))) - skew
+}
+
 // sortedWorkers returns the workers sorted by name, so that runs are deterministic.
 func (world *World) sortedWorkers() []*fakeWorker {
 	list := make([]*fakeWorker, 0, len(world.workers))
