api: ignore the late result of a paged submission that has ended

What callers saw: a repeated submission with a long upstream list got no response, and its repeats got 503 until the attempt had timed out.

Cause: an attempt ends after 20 s, but the write of its first page may still be in flight then. Its result was handled under the job's ID, so it removed the attempt that had been started for the same job meanwhile.

Change: the result of the first page counts only for the active attempt, as the results of all later writes do.

TestLateResultOfEndedAttempt before the fix:

--- FAIL: TestLateResultOfEndedAttempt (0.03s) paged_submission_test.go:182: submission after the first attempt ended: got status 0, body "", Retry-After 0; want status 201, phase "queued"

After it: passed, with all tests of the package.

--- a/internal/api/fakestore_test.go
+++ b/internal/api/fakestore_test.go
@@ -27,7 +27,13 @@
 	// is called.
 	loseResponse, delay func(body string) bool
 	delayed             []string
-	txns                []string // bodies of all transactions
+	// overLimit reports whether a transaction with this body exceeds the write rate.
+	overLimit func(body string) bool
+	// hold reports whether a transaction with this body gets neither a response nor an
+	// execution until the test ends its call, whose ID is added to heldCalls.
+	hold      func(body string) bool
+	heldCalls []uint64
+	txns      []string // bodies of all transactions
 }
 
 // storedValue is the current value of a key.
@@ -133,8 +139,8 @@
 	s.delayed = nil
 }
 
-// serve returns the response to a call. It returns ok = false for a watch request, which
-// stays open without a response.
+// serve returns the response to a call. It returns ok = false for a watch request and for a
+// held transaction, which stay open without a response.
 func (s *fakeStore) serve(c event.Call) (status int, body string, ok bool) {
 	s.t.Helper()
 	u, err := url.Parse(c.Path)
@@ -156,6 +162,13 @@
 		return 200, s.changesSince(from), true
 	}
 	s.txns = append(s.txns, string(c.Body))
+	if s.overLimit != nil && s.overLimit(string(c.Body)) {
+		return 429, "", true
+	}
+	if s.hold != nil && s.hold(string(c.Body)) {
+		s.heldCalls = append(s.heldCalls, c.ID)
+		return 0, "", false
+	}
 	if s.delay != nil && s.delay(string(c.Body)) {
 		s.delayed = append(s.delayed, string(c.Body))
 		return 0, "", true
--- a/internal/api/paged_submission.go
+++ b/internal/api/paged_submission.go
@@ -63,8 +63,13 @@
 	})
 }
 
-// handleFirstPageResult handles the result of the write of the first page.
+// handleFirstPageResult handles the result of the write of the first page. It ignores the
+// result if the attempt has ended: its user has received 503, and another attempt for the same
+// job may be active.
 func (s *Server) handleFirstPageResult(p *pagedSubmission, r kv.Result) {
+	if !s.isActive(p) {
+		return
+	}
 	switch r.Outcome {
 	case kv.Committed:
 		p.firstPageRevision = r.Revision
--- a/internal/api/paged_submission_test.go
+++ b/internal/api/paged_submission_test.go
@@ -158,3 +158,26 @@
 	}
 	n.expect("retry", n.submit(1, list), 200, "queued")
 }
+
+// TestLateResultOfEndedAttempt guards against a late result of an attempt that has ended
+// being taken for the result of a newer attempt for the same job, whose user then got no
+// reply.
+func TestLateResultOfEndedAttempt(t *testing.T) {
+	s := newFakeStore(t)
+	n := newController(t, s, "n0")
+	list := n.createUpstreamJobs(1_000_000, 1500)
+	// The write of the first page is repeated until shortly before its timeout.
+	s.overLimit = func(txn string) bool { return writes(txn, "u/req-1/0") }
+	first := n.start("POST", "/submissions", body(1, list))
+	n.run(pagedSubmissionTimeout - 500*time.Millisecond)
+	s.overLimit = nil
+	s.hold = func(txn string) bool { return len(s.heldCalls) == 0 && writes(txn, "u/req-1/0") }
+	n.run(time.Second)
+	if len(s.heldCalls) != 1 || n.replies[first].Status != 503 {
+		t.Fatalf("%d writes of the first page are in flight, first submission got status %d; want 1, 503", len(s.heldCalls), n.replies[first].Status)
+	}
+	second := n.start("POST", "/submissions", body(1, list))
+	n.client.HandleCallResult(n.now, event.CallResult{ID: s.heldCalls[0], Status: event.NoResponse}, &n.out)
+	n.run(2 * time.Second)
+	n.expect("submission after the first attempt ended", n.replies[second], 201, "queued")
+}
