--- a/internal/simtest/random_faults_test.go
+++ b/internal/simtest/random_faults_test.go
@@ -1,10 +1,6 @@
 package simtest
 
-import (
-	"fmt"
-	"testing"
-	"time"
-)
+import "time"
 
 // injectTwoFaults injects two random faults, the second one up to 3 seconds after the first.
 func (world *World) injectTwoFaults() {
@@ -113,67 +109,6 @@
 	world.schedule(duration, func() { setCut(false) })
 }
 
-// restartRelayingControllers disconnects the leader from all workers, so that other controllers
-// relay their heartbeats, and restarts these controllers again and again. Each is back within a
-// second, while the leader may still hold responses to heartbeats that the earlier process has
-// relayed. Idle machines and jobs let the leader send start commands meanwhile.
-func restartRelayingControllers(world *World, _ *controllerProcess, duration time.Duration) {
-	leader := world.leader()
-	if leader == nil {
-		return
-	}
-	duration += 2 * heartbeatTimeout
-	world.extendFaults(duration)
-	for range 3 {
-		world.cloud.addMachine("small", []string{"a", "b"}[world.random.IntN(2)], false, 0)
-	}
-	disconnectWorkers(world, leader, duration)
-	world.restartOthersUntil(leader, world.now+duration)
-}
-
-// restartOthersUntil restarts all controllers but one at random times until the given time, and
-// lets a user submit a job while they are back for a moment.
-func (world *World) restartOthersUntil(leader *controllerProcess, end time.Duration) {
-	world.schedule(seconds(1+world.random.Float64()*2), func() {
-		if world.now >= end {
-			return
-		}
-		for _, process := range world.controllers {
-			if process != leader && process.up {
-				process.kill()
-				world.bootAfter(process, seconds(0.05+world.random.Float64()))
-			}
-		}
-		world.schedule(seconds(0.5+world.random.Float64()*2), world.submitFaultJob)
-		world.restartOthersUntil(leader, end)
-	})
-}
-
-// firstFaultJob is the number of the first job that a random fault submits.
-const firstFaultJob = 900_000
-
-// submitFaultJob submits an array of short tasks in the background.
-func (world *World) submitFaultJob() {
-	id := jobID(firstFaultJob + len(world.faultJobs))
-	world.faultJobs = append(world.faultJobs, id)
-	world.users.submitRecorded(Arguments{"id": id, "tasks": fmt.Sprint(1 + world.random.IntN(6)), "run": "2s"})
-}
-
-// acceptedFaultJobs waits until the submissions of random faults are decided and returns the
-// jobs that were accepted.
-func (world *World) acceptedFaultJobs() (accepted []string) {
-	world.users.waitForRecordedAnswers(2 * userRetry)
-	for _, id := range world.faultJobs {
-		if world.checker.acknowledgedPhase[id] == "" {
-			world.users.Poll(id) // its user stopped retrying, but the job may have been accepted
-		}
-		if world.checker.acknowledgedPhase[id] != "" {
-			accepted = append(accepted, id)
-		}
-	}
-	return accepted
-}
-
 // disconnectZone isolates the workers of a zone and a controller for longer than the workers'
 // leases last.
 func disconnectZone(world *World, process *controllerProcess, duration time.Duration) {
@@ -323,56 +258,3 @@
 		}
 	}
 }
-
-// leaderLossDuringOutage injects the combination of faults that caused the most violations
-// in the past. First the state service rejects only the leader, or the leader is isolated from
-// the other controllers, too. Other controllers acknowledge cancellations and some machines
-// hang meanwhile. Then the state service is unavailable to all controllers for longer than
-// a cancellation may take.
-func (world *World) leaderLossDuringOutage() {
-	process := world.leader()
-	if process == nil {
-		return
-	}
-	leaderOnly := seconds(0.5 + world.random.Float64()*8)
-	outage := seconds(world.config.Settings.Workers.CancelS + world.random.Float64()*20)
-	world.extendFaults(leaderOnly + outage + time.Second)
-	if world.random.IntN(2) == 0 {
-		process.denyFor(leaderOnly + seconds(world.random.Float64()))
-	} else {
-		world.network.isolateFor(process, leaderOnly+outage)
-	}
-	var hang time.Duration
-	if world.random.IntN(2) == 0 {
-		hang = seconds(world.random.Float64() * 10)
-	}
-	world.schedule(seconds(world.random.Float64()*leaderOnly.Seconds()), func() { world.users.cancelRunningJobs(1+world.random.IntN(4), hang) })
-	world.schedule(leaderOnly, func() {
-		world.stateService.setOutage(true)
-		world.schedule(outage, func() { world.stateService.setOutage(false) })
-	})
-}
-
-// Numbers of the kinds of random faults, before and after those of relays and frames were added.
-const (
-	faultKindsBeforeRelays = 28
-	faultKindsWithRelays   = 31
-)
-
-// TestSeedsThatBroke repeats random runs that violated an invariant in long trials, each with
-// the kinds of faults that existed then.
-func TestSeedsThatBroke(t *testing.T) {
-	for _, broke := range []struct {
-		seed       uint64
-		faultKinds int
-	}{
-		{27732, faultKindsBeforeRelays}, // all machines terminated: every leader resigned before it had established that the machines are unresponsive
-		{25980, faultKindsBeforeRelays}, // a term began before the watch cache contained all earlier writes
-		{526, faultKindsWithRelays},     // responses to relays of an earlier process reached other workers
-		{2388, faultKindsWithRelays},    // the same
-	} {
-		t.Run(fmt.Sprint(broke.seed), func(t *testing.T) {
-			runRandomJobsWith(t, broke.seed, randomJobsOptions{faultKinds: broke.faultKinds})
-		})
-	}
-}
