--- a/review/standin2/case_restart.go
+++ b/review/standin2/case_restart.go
@@ -11,6 +11,9 @@
 	// endedJobs is the number of jobs that have ended before: about two days of the
 	// site, which gets 8 jobs a minute.
 	endedJobs = 20_000
+	// startPause is between the first starts; the rate of the state service is free again
+	// after it.
+	startPause = 2 * time.Second
 	// restartDelay is the time after which a controller is back, from the brief.
 	restartDelay = 4 * time.Second
 	// unansweredLimit is the time after which a job without an answer is forgotten.
@@ -39,6 +42,7 @@
 			c.unable("%s did not become healthy at its first start", p.label)
 		}
 		c.note("%s: healthy", p.label)
+		time.Sleep(startPause)
 	}
 	j := &job{ID: "req-900001", Class: "fairmatch", Owner: "beosztas", Shape: "array", Rank: "normal", Shards: 2, Cores: 10, RAM: 54,
 		Bundle: "img-1", ImageGB: 1, Loaners: true, Expect: 90, SnapshotEvery: 30, Snapshot: 4, runTime: 90 * time.Second}
