Review case 5: long lists of upstream jobs end every controller for its memory

Cause: each controller keeps every edge of the job graph several times, as text, and nothing bounds the edges.

Change: the case, with the platform's limit on memory.

--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -262,6 +263,21 @@
 	}
 }
 
+// residentMB returns the memory of a controller's process in MiB.
+func (p *controllerProcess) residentMB() int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmRSS:" {
+			kb, _ := strconv.Atoi(fields[1])
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
 func (p *controllerProcess) running() bool {
 	if p.cmd == nil {
 		return false
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -50,5 +50,30 @@
 	{Name: "tisza", Cores: 96, Cards: 8, RAM: 576, Local: 120, Fetch: 0.5, Price: 28.11, LowPrice: 12.45, Ready: 60, Yards: []string{"szeged-a", "szeged-b", "budapest-r"}},
 }
 
+// dispensa returns the settings of the site with chained jobs and the fewest controllers.
+func dispensa() settings {
+	s := settings{
+		Count:     3,
+		Zones:     []string{"arequipa", "lima-norte"},
+		Workers:   timings{ReportS: 5, LeaseS: 31, GangWaitS: 45, GangPeerS: 5, CancelS: 61},
+		State:     stateLimits{RPS: 100, WriteRPS: 25, ValueKB: 8, TxnOps: 20},
+		Cloud:     cloudLimits{RPS: 4, ListLag: 4},
+		Resources: object{"core_share": 0.06, "ram_mb": 125, "max_connections": 1500},
+		SkewMS:    100,
+	}
+	for _, t := range []struct {
+		name        string
+		gpus, limit float64
+	}{{"flota", 180, 700}, {"logistica", 180, 700}, {"tesoreria", 250, 1200}, {"comercial", 250, 800}, {"soporte", 300, 1500}, {"datos", 200, 1000}} {
+		s.Teams = append(s.Teams, team{Name: t.name, GPUs: t.gpus, GPUsMax: t.limit})
+	}
+	return s
+}
+
+var dispensaTypes = []machineType{
+	{Name: "chico", Cores: 4, RAM: 32, Local: 35, Fetch: 0.8, Price: 0.23, LowPrice: 0.11, Ready: 15, Yards: []string{"arequipa", "lima-norte"}},
+	{Name: "grande", Cores: 32, RAM: 128, Local: 80, Fetch: 0.8, Price: 1.65, LowPrice: 0.69, Ready: 25, Yards: []string{"arequipa", "lima-norte"}},
+}
+
 // stateLatency is the time of a response of the state service in the site files.
 const stateLatency = 5 * time.Millisecond
--- a/review/standin2/state.go
+++ b/review/standin2/state.go
@@ -196,22 +196,12 @@
 }
 
 // preload stores values as controllers would have written them earlier.
-func (s *stateService) preload(key, data string) {
+func (s *stateService) preload(key, data string) (stamp uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch++
 	s.apply(change{Write: key, Data: json.RawMessage(data), Stamp: s.epoch}, 0)
-}
-
-func (s *stateService) count(prefix string) (n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for key := range s.keys {
-		if strings.HasPrefix(key, prefix) {
-			n++
-		}
-	}
-	return n
+	return s.epoch
 }
 
 // statusCounts returns the responses to one controller by status, and the pages served.
