--- a/review/standin2/users.go
+++ b/review/standin2/users.go
@@ -35,6 +35,10 @@
 const (
 	submitTimeout = 5 * time.Second
 	pollTimeout   = 2 * time.Second
+	// pollInterval is the time between two questions of a user.
+	pollInterval = 5 * time.Second
+	// unansweredLimit is the time after which a job without an answer is forgotten.
+	unansweredLimit = 75 * time.Second
 	// smallSweepTasks is the number of tasks of a sweep with TROUBLE=0.
 	smallSweepTasks = 500
 )
