--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -69,6 +69,7 @@
 	state       *stateService
 	cloud       *cloud
 	checker     *checker
+	gangs       *gangs
 	trouble     bool
 	began       time.Time
 
@@ -89,6 +90,7 @@
 		c.unable("temporary folder: %v", err)
 	}
 	c.checker = newChecker(c)
+	c.gangs = &gangs{attempts: map[gangAttempt]*gang{}}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	go func() { c.unable("ended by signal %v", <-signals) }()
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -24,7 +24,7 @@
 	try     uint64
 	job     *job
 	index   int
-	phase   string // pulling, running, saving, exited
+	phase   string // pulling, waiting, running, saving, exited
 	cause   string
 	stored  bool
 	ready   time.Time // end of the image fetch
@@ -32,7 +32,8 @@
 	ends    time.Time // end of saving
 }
 
-// worker is a stand-in of a worker. It runs tasks of arrays, gangs of one task and services.
+// worker is a stand-in of a worker. It runs tasks of arrays and services, and of gangs that
+// never save.
 type worker struct {
 	c       *cluster
 	machine *rental
@@ -138,7 +139,24 @@
 		}
 		t.phase = "running"
 		t.started = now
+		if t.job.Shape == "gang" {
+			t.phase = "waiting"
+			w.c.gangs.wait(t)
+		}
+	case "waiting":
+		switch started := w.c.gangs.startedAt(t); {
+		case !started.IsZero():
+			t.phase = "running"
+			t.started = started
+			w.changed = true
+		case now.Sub(t.started) > w.c.seconds(w.c.settings.Workers.GangWaitS):
+			w.exit(t, "incomplete", false)
+		}
 	case "running":
+		if t.job.Shape == "gang" && w.c.gangs.broken(t) {
+			w.exit(t, "peers", false)
+			return
+		}
 		if t.job.Shape == "daemon" || now.Sub(t.started) < t.job.runTime {
 			return
 		}
@@ -154,6 +172,7 @@
 func (w *worker) exit(t *task, cause string, stored bool) {
 	if t.phase != "exited" {
 		w.c.checker.stop(w, t)
+		w.c.gangs.leave(t, cause)
 	}
 	t.phase = "exited"
 	t.cause = cause
@@ -165,6 +184,7 @@
 	for shard, t := range w.tasks {
 		if t.phase != "exited" {
 			w.c.checker.stop(w, t)
+			w.c.gangs.leave(t, why)
 		}
 		delete(w.tasks, shard)
 	}
