--- a/review/standin2/cloud.go
+++ b/review/standin2/cloud.go
@@ -30,6 +30,7 @@
 	kind       machineType
 	yard       string
 	loaners    bool
+	fetch      float64 // GB a second; the page allows a third more or less than the type's
 	since      time.Time
 	up         bool
 	worker     *worker
@@ -56,7 +57,8 @@
 // add rents a machine that is up after the given time.
 func (cl *cloud) add(kind machineType, yard string, loaners bool, boot time.Duration) string {
 	cl.last++
-	machine := &rental{name: fmt.Sprintf("i-%06d", cl.last), kind: kind, yard: yard, loaners: loaners, since: time.Now()}
+	machine := &rental{name: fmt.Sprintf("i-%06d", cl.last), kind: kind, yard: yard, loaners: loaners,
+		fetch: kind.Fetch, since: time.Now()}
 	cl.rentals[machine.name] = machine
 	machine.worker = newWorker(cl.c, machine)
 	machine.addr = machine.worker.addr
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -351,7 +351,7 @@
 		t.phase = "pulling"
 		t.ready = now
 		if !w.images[t.job.Bundle] {
-			t.ready = now.Add(time.Duration(t.job.ImageGB / w.machine.kind.Fetch * float64(time.Second)))
+			t.ready = now.Add(time.Duration(t.job.ImageGB / w.machine.fetch * float64(time.Second)))
 		}
 	}
 }
