Never read a heartbeat's sequence from a field of an unknown object

A heartbeat that differs from the last one of its machine only in the text after "tick": is not decoded.

A heartbeat is kept for comparison only if that text is certainly a field of the heartbeat itself. TestSequenceOfUnknownField fails without the check (the sequence is 5 instead of 0).

--- a/internal/worker/heartbeat_parser.go
+++ b/internal/worker/heartbeat_parser.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if ok && heartbeat.Sequence == text.sequence {
+	if ok && heartbeat.Sequence == text.sequence && text.splitAtOwnField() {
 		p.cache(heartbeat, text)
 	}
 	return heartbeat, nil
@@ -106,6 +106,28 @@
 	return heartbeatText{body[:from], sequence, body[to:]}, err == nil
 }
 
+// splitAtOwnField reports whether the text, which must be valid JSON, is certainly split at
+// the sequence of the heartbeat itself. It is not if the field belongs to an object within a
+// field that this version does not know, or if escapes may hide a field of the same name.
+func (t *heartbeatText) splitAtOwnField() bool {
+	if bytes.IndexByte(t.before, '\\') >= 0 || bytes.IndexByte(t.after, '\\') >= 0 {
+		return false
+	}
+	depth, inString := 0, false
+	for _, char := range t.before {
+		switch {
+		case char == '"':
+			inString = !inString
+		case inString:
+		case char == '{':
+			depth++
+		case char == '}':
+			depth--
+		}
+	}
+	return depth == 1
+}
+
 func isDigit(char byte) bool { return char >= '0' && char <= '9' }
 
 // endsNumber reports whether a character can follow an integer in a JSON object. A fraction
--- a/internal/worker/heartbeat_parser_test.go
+++ b/internal/worker/heartbeat_parser_test.go
@@ -62,6 +62,31 @@
 	}
 }
 
+// TestSequenceOfUnknownField guards against a sequence that is read from a field that this
+// version does not know: it is decoded each time.
+func TestSequenceOfUnknownField(t *testing.T) {
+	for _, c := range []struct{ name, sequenceField, more string }{
+		{"object, sequence missing", ``, `"x":{"tick":SEQUENCE},`},
+		{"object, sequence escaped", `"ti\u0063k":0,`, `"x":{"tick":SEQUENCE},`},
+		{"escaped sequence later", `"tick":SEQUENCE,`, `"tic\u006b":0,`},
+		{"part of a name", ``, `"\"tick":SEQUENCE,`},
+		{"other case", ``, `"Tick":SEQUENCE,"TICK":SEQUENCE,`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var parser worker.HeartbeatParser
+			for _, sequence := range []string{"0", "5"} {
+				text := strings.Replace(string(heartbeatBody("1", c.more)), `"tick":1,`, c.sequenceField, 1)
+				body := []byte(strings.ReplaceAll(text, "SEQUENCE", sequence))
+				got, err := parser.Parse(body)
+				want, wantErr := worker.ParseHeartbeat(body)
+				if err != nil || wantErr != nil || got.Sequence != want.Sequence || got.Sequence != 0 {
+					t.Errorf("got sequence %v, %v; want 0 and the same as by decoding: %v, %v", got, err, want, wantErr)
+				}
+			}
+		})
+	}
+}
+
 // TestHeartbeatUnknownFields checks that fields whose names are similar to those of a
 // heartbeat do not change it (review case 7 shows the fault for submissions).
 func TestHeartbeatUnknownFields(t *testing.T) {
