Keep the cost of large jobs linear, and bound a round within a job

The leader placed all of them on one machine in one step, and machineIndex copied the machine's list of assignments for each task, so placing n tasks cost n*n. The round's budget was checked between jobs only. The next leader did the same.

Linear in the tasks of a job or a machine are now: placement, writes, termination, completion, cancellation, garbage collection and hand-over (list of a machine's assignments with positions, counts by segment, a heap of tasks that are unassigned again); completion and failure of gangs, whose every exited task led to an iteration over all of them; starts that heartbeats do not list; preemption, which sorted a machine's tasks again for each slot; moves for consolidation. Counting tasks by zone takes the machines of a job, and is left out where no constraint needs it. A round checks its budget after 256 tasks of a job, and the next one resumes with that job.

--- a/internal/autoscaler/scale_in.go
+++ b/internal/autoscaler/scale_in.go
@@ -56,7 +56,7 @@
 
 // hasTasks reports whether tasks may be on a machine.
 func (s *scaleIn) hasTasks(machine *worker.Machine) bool {
-	return len(s.jobs.AssignmentsOn(machine.Index)) > 0
+	return s.jobs.AssignmentCount(machine.Index) > 0
 }
 
 // checkBooting checks the booting machines. It removes those that have registered and
--- a/internal/autoscaler/unresponsive.go
+++ b/internal/autoscaler/unresponsive.go
@@ -36,7 +36,7 @@
 			if countAfter(heartbeats, cutoff) < responsivePerUnresponsive*len(unresponsive) {
 				continue
 			}
-			s.log.Info("decommissioning unresponsive machine", "machine", machine.Name, "tasks", len(s.jobs.AssignmentsOn(machine.Index)))
+			s.log.Info("decommissioning unresponsive machine", "machine", machine.Name, "tasks", s.jobs.AssignmentCount(machine.Index))
 			s.decommissions.start(machine, scan.now, scan.term)
 		}
 	}
--- a/internal/controller/leader_work.go
+++ b/internal/controller/leader_work.go
@@ -110,7 +110,7 @@
 		if machine.ReclaimAt() == 0 {
 			continue
 		}
-		for _, assignment := range c.jobs.AssignmentsOn(machine.Index) {
+		for assignment := range c.jobs.AssignmentsOn(machine.Index) {
 			job := assignment.Job
 			needed := config.Seconds(job.CheckpointDuration) + evictionMargin
 			if job.CheckpointInterval > 0 && machine.ReclaimAt()-now < needed {
--- a/internal/controller/machine_sweep.go
+++ b/internal/controller/machine_sweep.go
@@ -31,5 +31,5 @@
 // index.
 func (c *Controller) isMachineReferenced(index pipeline.MachineIndex) bool {
 	known := c.workers.MachineAt(index) != nil || c.autoscaler.IsBooting(index)
-	return known || len(c.jobs.AssignmentsOn(index)) > 0 || c.heartbeats.pending.get(index) != nil
+	return known || c.jobs.AssignmentCount(index) > 0 || c.heartbeats.pending.get(index) != nil
 }
--- a/internal/pipeline/assignment.go
+++ b/internal/pipeline/assignment.go
@@ -15,6 +15,8 @@
 	Machine MachineIndex
 	Attempt uint64
 
+	machinePosition int32 // position in the list of its machine
+
 	persisted      bool // the watch cache shows the assignment
 	mayBePersisted bool // part of a write that was or may still be committed
 	omitted        bool // left out of a write in flight
--- a/internal/pipeline/assignments.go
+++ b/internal/pipeline/assignments.go
@@ -52,6 +52,7 @@
 		return
 	}
 	assignment.evicting = true
+	assignment.Job.evictingCount++
 	assignment.gracePeriod = gracePeriod
 	t.MarkMachineChanged(assignment.Machine)
 }
@@ -69,9 +70,13 @@
 	}
 }
 
+// AllEvicting reports whether all assignments of a job are being evicted.
+func (j *Job) AllEvicting() bool { return j.evictingCount == j.activeCount }
+
 // addAssignment adds a new assignment to the counts and to its machine.
 func (t *Table) addAssignment(assignment *Assignment) {
 	assignment.Job.activeCount++
+	assignment.Job.addToMachineCount(assignment.Machine, 1)
 	t.adjustUsage(assignment, 1)
 	t.addToMachine(assignment)
 }
@@ -80,7 +85,11 @@
 // has removed it from its segment.
 func (t *Table) removeAssignment(assignment *Assignment) {
 	assignment.Job.activeCount--
+	assignment.Job.addToMachineCount(assignment.Machine, -1)
 	assignment.Job.recordUnassigned(assignment.Task)
+	if assignment.evicting {
+		assignment.Job.evictingCount--
+	}
 	if assignment.pending == PendingDone {
 		assignment.Job.pendingDoneCount--
 	}
--- a/internal/pipeline/completion.go
+++ b/internal/pipeline/completion.go
@@ -21,13 +21,14 @@
 		}
 		return
 	}
-	if job.doneUnassigned[task] {
+	if segment.doneUnassigned[task] {
 		return
 	}
-	if job.doneUnassigned == nil {
-		job.doneUnassigned = map[int]bool{}
+	if segment.doneUnassigned == nil {
+		segment.doneUnassigned = map[int]bool{}
 	}
-	job.doneUnassigned[task] = true
+	segment.doneUnassigned[task] = true
+	job.doneUnassignedCount++
 	t.markSegmentUnsaved(job, segment)
 }
 
@@ -37,7 +38,13 @@
 	if j.Shape == Daemon || j.TerminalPhase != Queued || j.ModRevision == 0 {
 		return false
 	}
-	return j.doneCount+len(j.doneUnassigned)+j.pendingDoneCount >= j.TaskCount
+	return j.AllTasksCompleted()
+}
+
+// AllTasksCompleted reports whether the completion of every task has been recorded, whether
+// it is persisted or not.
+func (j *Job) AllTasksCompleted() bool {
+	return j.doneCount+j.doneUnassignedCount+j.pendingDoneCount >= j.TaskCount
 }
 
 // queueCompletion queues the write of the terminal record of a complete job. Users and
--- a/internal/pipeline/flush.go
+++ b/internal/pipeline/flush.go
@@ -34,17 +34,18 @@
 // flushSegments queues the writes of a job's unsaved segments whose nextWrite time has
 // passed. It reports whether any segment is still unsaved.
 func (t *Table) flushSegments(job *Job, now event.Time, term kv.Compare, submitter TxnSubmitter) (unsaved bool) {
-	for index := range job.segments {
+	slices.Sort(job.unsavedSegments)
+	job.unsavedSegments = slices.DeleteFunc(job.unsavedSegments, func(index int) bool {
 		segment := &job.segments[index]
-		if !segment.unsaved {
-			continue
-		}
-		unsaved = true
-		if now >= segment.nextWrite {
+		segment.listedAsUnsaved = segment.unsaved
+		return !segment.unsaved
+	})
+	for _, index := range job.unsavedSegments {
+		if now >= job.segments[index].nextWrite {
 			t.queueSegmentWrite(job, index, now, term, submitter)
 		}
 	}
-	return unsaved
+	return len(job.unsavedSegments) > 0
 }
 
 // segmentWrite is a write of a segment that is queued or in flight. It refers to the
@@ -185,11 +186,9 @@
 			assignment.omitted = true
 		}
 	}
-	for task := range job.doneUnassigned {
-		if task/t.segmentLen == index {
-			content.hasProgress = true
-			setDone(content.done, task%t.segmentLen)
-		}
+	for task := range segment.doneUnassigned {
+		content.hasProgress = true
+		setDone(content.done, task%t.segmentLen)
 	}
 	return content
 }
--- a/internal/pipeline/garbage_collection.go
+++ b/internal/pipeline/garbage_collection.go
@@ -46,9 +46,9 @@
 		txn.Compares = append(txn.Compares, kv.Compare{Key: key, ModRevision: modRevision})
 		txn.Writes = append(txn.Writes, kv.Write{Key: key})
 	}
-	for index := range job.segments {
-		if job.segments[index].modRevision != 0 && len(txn.Writes) < t.config.TxnOps-1 { // one write is reserved for the job record
-			remove(record.RunKey(job.ID, index), job.segments[index].modRevision)
+	for index := job.firstPersistedSegment(); index < len(job.segments) && len(txn.Writes) < t.config.TxnOps-1; index++ { // one write is reserved for the job record
+		if revision := job.segments[index].modRevision; revision != 0 {
+			remove(record.RunKey(job.ID, index), revision)
 		}
 	}
 	if job.ModRevision != 0 {
@@ -56,3 +56,12 @@
 	}
 	return txn
 }
+
+// firstPersistedSegment returns the index of the first segment with a persisted record, or
+// the number of segments if there is none. It remembers the segments that it has skipped.
+func (j *Job) firstPersistedSegment() int {
+	for j.firstPersisted < len(j.segments) && j.segments[j.firstPersisted].modRevision == 0 {
+		j.firstPersisted++
+	}
+	return j.firstPersisted
+}
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -114,6 +114,7 @@
 	ModRevision   uint64    // revision of the job record, zero if there is none
 	TerminalPhase Phase     // Done or Cancelled once the terminal record is persisted, Queued before
 	segments      []segment // the run records of the job, by index
+	segmentIndex
 
 	inherited
 	taskCounts
@@ -133,6 +134,13 @@
 	Chained           bool // the job has upstream jobs, or has had dependent jobs
 }
 
+// segmentIndex finds segments without iterating over all of them.
+type segmentIndex struct {
+	unsavedSegments   []int // indices of the unsaved segments, and of some that have been saved since
+	persistedSegments int   // number of segments with a persisted record
+	firstPersisted    int   // no segment before it has a persisted record
+}
+
 // recordWrites is a controller's state of the writes of a job's readiness, cancellation
 // and completion, and of the deletion of the job's records.
 type recordWrites struct {
@@ -145,11 +153,12 @@
 
 // leaderState holds the leader's decisions about a job. It is discarded when the term ends.
 type leaderState struct {
-	terminating    bool         // the attempt of the gang is being terminated
-	withinQuota    bool         // the job fits in its team's quota
-	reservedZone   ZoneSelector // zone where capacity is reserved for the job, any zone if there is none
-	minUnassigned  int          // all tasks with lower numbers are assigned or done
-	doneUnassigned map[int]bool // completed tasks without an assignment
+	terminating         bool         // the attempt of the gang is being terminated
+	withinQuota         bool         // the job fits in its team's quota
+	reservedZone        ZoneSelector // zone where capacity is reserved for the job, any zone if there is none
+	unassigned          unassignedTasks
+	doneUnassignedCount int // completed tasks without an assignment
+	evictingCount       int // assignments that are being evicted
 }
 
 // Phase returns the phase that is shown to users.
--- a/internal/pipeline/leadership.go
+++ b/internal/pipeline/leadership.go
@@ -33,6 +33,7 @@
 		segment.unsaved = false
 		segment.unsentPlacement = false
 		segment.nextWrite = 0
+		segment.doneUnassigned = nil
 		for task, assignment := range segment.assignments {
 			if !assignment.persisted {
 				delete(segment.assignments, task)
@@ -44,6 +45,7 @@
 		}
 	}
 	job.pendingDoneCount = 0
+	job.evictingCount = 0
 }
 
 // reset discards the state of an assignment that only a leader has.
--- a/internal/pipeline/segment.go
+++ b/internal/pipeline/segment.go
@@ -9,12 +9,16 @@
 
 // segment is the part of a job's tasks that one run record, under one key, holds.
 type segment struct {
+	index       int                 // in the job's list of segments
 	modRevision uint64              // of the persisted record, zero if there is none
 	attempt     uint64              // highest attempt number used
 	done        []uint64            // bitmap of the tasks that are persisted as done
+	doneCount   int                 // number of tasks in done
 	assignments map[int]*Assignment // by task: persisted ones, and placements that are not persisted yet
 	format      record.Format       // of the persisted record
 	unknown     record.Fields       // written by a later version
+	// doneUnassigned holds the completed tasks without an assignment. Only a leader has them.
+	doneUnassigned map[int]bool
 	segmentWrites
 }
 
@@ -22,6 +26,7 @@
 // from its persisted record is unsaved until a write with all changes is committed.
 type segmentWrites struct {
 	unsaved            bool
+	listedAsUnsaved    bool       // in the job's list of unsaved segments
 	unsentPlacement    bool       // a placement has not been part of any write, or its write failed
 	progressQueued     bool       // a write with kv.PriorityProgress is queued or in flight
 	placementQueued    bool       // a write with kv.PriorityPlacement is queued or in flight
@@ -44,6 +49,7 @@
 func (t *Table) segment(job *Job, index int) *segment {
 	for len(job.segments) <= index {
 		job.segments = append(job.segments, segment{
+			index:       len(job.segments),
 			done:        make([]uint64, (t.segmentLen+record.BitsPerWord-1)/record.BitsPerWord),
 			assignments: map[int]*Assignment{},
 		})
@@ -55,6 +61,10 @@
 func (t *Table) markSegmentUnsaved(job *Job, segment *segment) {
 	segment.unsaved = true
 	segment.changeCount++
+	if !segment.listedAsUnsaved {
+		segment.listedAsUnsaved = true
+		job.unsavedSegments = append(job.unsavedSegments, segment.index)
+	}
 	t.unsaved[job] = true
 }
 
@@ -74,13 +84,13 @@
 	if err != nil {
 		return err
 	}
-	segment.modRevision = modRevision
 	if data == nil {
-		segment.modRevision = 0
+		modRevision = 0
 	}
+	job.setModRevision(segment, modRevision)
 	listed := t.mergeListedAssignments(job, segment, active)
 	t.removeUnlistedAssignments(job, segment, listed)
-	job.countDone()
+	job.countDone(segment)
 	if job.complete() {
 		t.unsaved[job] = true // a write without a response was committed
 	}
@@ -145,18 +155,31 @@
 	}
 }
 
-// countDone recomputes doneCount from the segments. It removes from doneUnassigned the
-// tasks that are now persisted as done.
-func (j *Job) countDone() {
-	j.doneCount = 0
-	for index := range j.segments {
-		for _, word := range j.segments[index].done {
-			j.doneCount += bits.OnesCount64(word)
-		}
+// setModRevision sets the revision of a segment's persisted record, zero if there is none.
+func (j *Job) setModRevision(segment *segment, modRevision uint64) {
+	switch {
+	case segment.modRevision == 0 && modRevision != 0:
+		j.persistedSegments++
+		j.firstPersisted = min(j.firstPersisted, segment.index)
+	case segment.modRevision != 0 && modRevision == 0:
+		j.persistedSegments--
+	}
+	segment.modRevision = modRevision
+}
+
+// countDone updates the job's doneCount after a change of a segment. It removes from
+// doneUnassigned the tasks that are now persisted as done.
+func (j *Job) countDone(segment *segment) {
+	count := 0
+	for _, word := range segment.done {
+		count += bits.OnesCount64(word)
 	}
-	for task := range j.doneUnassigned {
+	j.doneCount += count - segment.doneCount
+	segment.doneCount = count
+	for task := range segment.doneUnassigned {
 		if j.IsDone(task) {
-			delete(j.doneUnassigned, task)
+			delete(segment.doneUnassigned, task)
+			j.doneUnassignedCount--
 		}
 	}
 }
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -147,14 +147,9 @@
 
 // removeIfNoRecords removes a job if it has no assignments and none of its records is left.
 func (t *Table) removeIfNoRecords(job *Job) {
-	if job.ModRevision != 0 || job.activeCount > 0 {
+	if job.ModRevision != 0 || job.activeCount > 0 || job.persistedSegments > 0 {
 		return
 	}
-	for index := range job.segments {
-		if job.segments[index].modRevision != 0 {
-			return
-		}
-	}
 	delete(t.unsaved, job)
 	delete(t.retries.unsaved, job)
 	delete(t.endedWithTasks, job)
@@ -174,6 +169,7 @@
 	// spec and added with the new one. Before the first spec is known they add zero.
 	t.adjustJobUsage(job, -1)
 	err := decodeJob(t.Names, data, job)
+	job.countByMachine()
 	t.adjustJobUsage(job, 1)
 	if err != nil {
 		return err
--- a/internal/pipeline/tasks.go
+++ b/internal/pipeline/tasks.go
@@ -14,6 +14,8 @@
 	doneCount        int // tasks that the run records list as done
 	activeCount      int // assignments
 	pendingDoneCount int // assignments whose completion has not been written yet
+
+	tasksByMachine map[MachineIndex]int // assignments by machine, see TasksByMachine
 }
 
 // DoneCount returns the number of tasks that are persisted as done.
@@ -64,27 +66,17 @@
 
 // Unassigned reports whether a task is unassigned and not completed.
 func (j *Job) Unassigned(task int) bool {
-	return !j.IsDone(task) && j.Assignment(task) == nil && !j.doneUnassigned[task]
+	index := task / j.segmentLen
+	if index >= len(j.segments) {
+		return true
+	}
+	segment := &j.segments[index]
+	return !j.IsDone(task) && segment.assignments[task] == nil && !segment.doneUnassigned[task]
 }
 
 // HasStarted reports whether any task of the job is assigned or done.
 func (j *Job) HasStarted() bool { return j.ActiveCount() > 0 || j.DoneCount() > 0 }
 
-// NextUnassigned returns the first unassigned task whose number is at least from, or TaskCount
-// if there is none. It remembers the tasks that it has skipped and does not check them again
-// until one of them is unassigned again. Otherwise each placement would scan the array from
-// its first task.
-func (j *Job) NextUnassigned(from int) int {
-	task := max(from, j.minUnassigned)
-	for task < j.TaskCount && !j.Unassigned(task) {
-		task++
-	}
-	if from <= j.minUnassigned {
-		j.minUnassigned = task
-	}
-	return task
-}
-
 // ProbeTask returns the unassigned task to use as the next probe of a job at fault, or
 // TaskCount if there is none. It rotates through the unassigned tasks, because only some of
 // them may fail.
@@ -100,12 +92,9 @@
 	return task
 }
 
-// recordUnassigned records that a task may be unassigned again.
-func (j *Job) recordUnassigned(task int) { j.minUnassigned = min(j.minUnassigned, task) }
-
 // UnassignedCount returns the number of unassigned tasks that are not completed.
 func (j *Job) UnassignedCount() int {
-	return max(0, j.TaskCount-j.doneCount-j.activeCount-len(j.doneUnassigned))
+	return max(0, j.TaskCount-j.doneCount-j.activeCount-j.doneUnassignedCount)
 }
 
 // Schedulable reports whether an unfinished ready job has tasks that may be placed now.
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"lugward/internal/event"
 	"lugward/internal/pipeline"
@@ -23,10 +22,10 @@
 	FreeMemory  float64 // GB
 	InUse       bool    // tasks are assigned to the machine or capacity is allocated
 
-	evicting          []*pipeline.Assignment // tasks of the machine that are being evicted
-	releases          []expectedRelease      // expected releases by the machine's tasks, earliest first
-	releasesListed    bool                   // expectedReleases has filled in releases
-	assignmentChanges uint32                 // change count of the machine's assignments when this was computed
+	evicting          pipeline.Usage    // resources of the tasks of the machine that are being evicted
+	releases          []expectedRelease // expected releases by the machine's tasks, earliest first
+	releasesListed    bool              // expectedReleases has filled in releases
+	assignmentChanges uint32            // change count of the machine's assignments when this was computed
 }
 
 // FittingTasks returns how many tasks with the given spec fit into the free capacity.
@@ -79,10 +78,18 @@
 }
 
 // release adds the resources of one task to the free capacity.
-func (c *Capacity) release(spec *pipeline.Spec) {
-	c.FreeCPUs += spec.CPUs
-	c.FreeGPUs += spec.GPUs
-	c.FreeMemory += spec.Memory
+func (c *Capacity) release(spec *pipeline.Spec) { c.releaseUsage(usageOf(spec)) }
+
+// releaseUsage adds resources to the free capacity.
+func (c *Capacity) releaseUsage(usage pipeline.Usage) {
+	c.FreeCPUs += usage.CPUs
+	c.FreeGPUs += usage.GPUs
+	c.FreeMemory += usage.Memory
+}
+
+// usageOf returns the resources of one task.
+func usageOf(spec *pipeline.Spec) pipeline.Usage {
+	return pipeline.Usage{CPUs: spec.CPUs, GPUs: spec.GPUs, Memory: spec.Memory}
 }
 
 // hourlyPrice returns the hourly price of the machine.
@@ -120,18 +127,15 @@
 		FreeGPUs:    machineType.GPUs,
 		FreeMemory:  machineType.Memory,
 	}
-	for _, task := range s.jobs.AssignmentsOn(machine.Index) {
+	for task := range s.jobs.AssignmentsOn(machine.Index) {
 		if task.Phase() == pipeline.TaskExited {
 			continue // an exited task uses no resources; only its record is not updated yet
 		}
 		capacity.Allocate(&task.Job.Spec, 1)
 		if task.Evicting() {
-			capacity.evicting = append(capacity.evicting, task)
+			capacity.recordEviction(task)
 		}
 	}
-	// A round appends to evicting in its copy. Clipping the slice keeps those appends
-	// out of the cached one.
-	capacity.evicting = slices.Clip(capacity.evicting)
 	return capacity
 }
 
--- a/internal/scheduler/consolidation.go
+++ b/internal/scheduler/consolidation.go
@@ -93,12 +93,13 @@
 // allocation, every pass until then would count the same free capacity again and drain
 // machines whose tasks fit nowhere. It returns the jobs of the tasks that do not fit.
 func (c *consolidation) reserveForEvicted() (blocked []*pipeline.Job) {
+	var cursor targetCursor
 	for machine := range c.workers.All() {
-		for _, task := range c.jobs.AssignmentsOn(machine.Index) {
+		for task := range c.jobs.AssignmentsOn(machine.Index) {
 			if !task.Evicting() || task.Job.TerminalPhase != pipeline.Queued {
 				continue
 			}
-			i := slices.IndexFunc(c.targets, func(target *Capacity) bool {
+			i := cursor.next(c.targets, task.Job, func(target *Capacity) bool {
 				return target.FittingTasks(&task.Job.Spec) > 0 && target.accepts(task.Job, c.jobs.Now())
 			})
 			if i < 0 {
@@ -114,7 +115,7 @@
 // drain evicts the tasks of a machine and marks it as draining, so that it gets no new
 // tasks.
 func (s *Scheduler) drain(machine *worker.Machine) {
-	for _, task := range s.jobs.AssignmentsOn(machine.Index) {
+	for task := range s.jobs.AssignmentsOn(machine.Index) {
 		s.workers.Evict(task, worker.GracePeriod(task.Job))
 	}
 	machine.StartDraining()
@@ -127,7 +128,7 @@
 		return false
 	}
 	longest := 0.0
-	for _, task := range c.jobs.AssignmentsOn(capacity.Machine.Index) {
+	for task := range c.jobs.AssignmentsOn(capacity.Machine.Index) {
 		if !isMovable(task, c.now) {
 			return false
 		}
@@ -156,16 +157,38 @@
 	job    *pipeline.Job
 }
 
+// targetCursor searches targets for the tasks of one job after the other. The tasks of a job
+// are alike and targets only become fuller, so the search for a further task continues where
+// that for the last one ended.
+type targetCursor struct {
+	job   *pipeline.Job
+	index int
+}
+
+// next returns the index of the first target that fits a task of a job, or -1 if there is none.
+func (c *targetCursor) next(targets []*Capacity, job *pipeline.Job, fits func(*Capacity) bool) int {
+	if c.job != job {
+		*c = targetCursor{job: job}
+	}
+	for ; c.index < len(targets); c.index++ {
+		if fits(targets[c.index]) {
+			return c.index
+		}
+	}
+	return -1
+}
+
 // planMoves finds a target for each task of a machine, largest task first, and reports
 // whether all tasks have one. If so, their capacity stays allocated on the targets.
 func (c *consolidation) planMoves(source *Capacity) bool {
-	tasks := slices.Clone(c.jobs.AssignmentsOn(source.Machine.Index))
+	tasks := slices.Collect(c.jobs.AssignmentsOn(source.Machine.Index))
 	slices.SortFunc(tasks, func(a, b *pipeline.Assignment) int {
 		return cmp.Or(cmp.Compare(b.Job.CPUs, a.Job.CPUs), compareAssignments(a, b))
 	})
 	moves := make([]move, 0, len(tasks))
+	var cursor targetCursor
 	for _, task := range tasks {
-		i := slices.IndexFunc(c.targets, func(target *Capacity) bool {
+		i := cursor.next(c.targets, task.Job, func(target *Capacity) bool {
 			return c.canMoveTo(task.Job, source, target)
 		})
 		if i < 0 {
--- a/internal/scheduler/expected_release.go
+++ b/internal/scheduler/expected_release.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sort"
 
 	"lugward/internal/event"
 	"lugward/internal/pipeline"
@@ -17,7 +18,8 @@
 // expectedRelease is the time at which a task is expected to free its resources.
 type expectedRelease struct {
 	task  *pipeline.Assignment
-	after float64 // seconds from now
+	after float64        // seconds from now
+	freed pipeline.Usage // resources of this and all earlier releases, if computed by expectedReleases
 }
 
 // sortReleases sorts releases by time, earliest first.
@@ -51,7 +53,7 @@
 func (s *Scheduler) ProjectedCapacities(now event.Time) (capacities []*Capacity, evicting []*pipeline.Assignment) {
 	capacities = s.machineCapacities(now)
 	for _, capacity := range capacities {
-		for _, task := range s.jobs.AssignmentsOn(capacity.Machine.Index) {
+		for task := range s.jobs.AssignmentsOn(capacity.Machine.Index) {
 			finished := task.Job.TerminalPhase != pipeline.Queued
 			if task.Evicting() && !finished {
 				evicting = append(evicting, task)
@@ -61,7 +63,7 @@
 			case task.Evicting() || finished || task.Pending() != pipeline.NoPendingWrite:
 				capacity.release(&task.Job.Spec)
 			default:
-				capacity.releases = append(capacity.releases, expectedRelease{task, s.remainingRuntime(task, now)})
+				capacity.releases = append(capacity.releases, expectedRelease{task: task, after: s.remainingRuntime(task, now)})
 			}
 		}
 		sortReleases(capacity.releases)
@@ -86,7 +88,7 @@
 		return capacity.releases
 	}
 	capacity.releasesListed = true
-	for _, task := range s.jobs.AssignmentsOn(capacity.Machine.Index) {
+	for task := range s.jobs.AssignmentsOn(capacity.Machine.Index) {
 		if task.Phase() == pipeline.TaskExited {
 			continue // its resources were not subtracted
 		}
@@ -94,9 +96,16 @@
 		if task.Evicting() {
 			after = task.Job.CheckpointDuration
 		}
-		capacity.releases = append(capacity.releases, expectedRelease{task, after})
+		capacity.releases = append(capacity.releases, expectedRelease{task: task, after: after})
 	}
 	sortReleases(capacity.releases)
+	var freed pipeline.Usage
+	for i := range capacity.releases {
+		release := &capacity.releases[i]
+		freed.Add(&release.task.Job.Spec, 1)
+		freed.Memory += release.task.Job.Memory
+		release.freed = freed
+	}
 	return capacity.releases
 }
 
@@ -106,12 +115,14 @@
 	if capacity.FittingTasks(&job.Spec) > 0 {
 		return 0
 	}
-	free := *capacity
-	for _, release := range s.expectedReleases(capacity, now) {
-		free.release(&release.task.Job.Spec)
-		if free.FittingTasks(&job.Spec) > 0 {
-			return release.after
-		}
+	releases := s.expectedReleases(capacity, now)
+	first := sort.Search(len(releases), func(i int) bool {
+		free := *capacity
+		free.releaseUsage(releases[i].freed)
+		return free.FittingTasks(&job.Spec) > 0
+	})
+	if first == len(releases) {
+		return math.Inf(1)
 	}
-	return math.Inf(1)
+	return releases[first].after
 }
--- /dev/null
+++ b/internal/scheduler/large_job_test.go
@@ -0,0 +1,139 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lugward/internal/pipeline"
+)
+
+// exhausted is a budget that is used up at once.
+func exhausted() bool { return true }
+
+// addLargeJob adds a job of many small tasks that all fit on the machines of the cluster.
+func (s *cluster) addLargeJob(id string, tasks int, modify func(*pipeline.Job)) *pipeline.Job {
+	return s.addJob(id, func(j *pipeline.Job) {
+		j.TaskCount, j.CPUs, j.Memory = tasks, 0.001, 0.001
+		if modify != nil {
+			modify(j)
+		}
+	})
+}
+
+// TestRoundIsBoundedWithinJob guards against the fault of review case 4: a round placed all
+// tasks of a job in one step, whatever its budget. It now stops within the job, and the next
+// round continues with that job before others.
+func TestRoundIsBoundedWithinJob(t *testing.T) {
+	const tasks, later = 3000, "req-2"
+	for _, shape := range []pipeline.Shape{pipeline.Array, pipeline.Gang} {
+		t.Run(fmt.Sprint("shape ", shape), func(t *testing.T) {
+			s := newCluster(t)
+			job := s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { j.Shape = shape })
+			other := s.addLargeJob(later, 1, nil)
+			for round := 1; job.ActiveCount() < tasks; round++ {
+				s.jobs.ClearRoundRequest()
+				before := job.ActiveCount()
+				s.Round(s.now, exhausted)
+				if placed := job.ActiveCount() - before; placed != min(maxTasksPerStep, tasks-before) {
+					t.Fatalf("round %d placed %d tasks, want maxTasksPerStep or those that were left", round, placed)
+				}
+				if job.ActiveCount() < tasks && (other.ActiveCount() > 0 || !s.jobs.RoundRequested()) {
+					t.Fatalf("round %d: a later job has %d tasks, another round is requested: %t; want 0 and true", round, other.ActiveCount(), s.jobs.RoundRequested())
+				}
+			}
+			attempt := job.Assignment(0).Attempt
+			for assignment := range job.Assignments() {
+				if shape == pipeline.Gang && assignment.Attempt != attempt {
+					t.Fatalf("task %d of the gang has attempt %d, want %d", assignment.Task, assignment.Attempt, attempt)
+				}
+			}
+			s.Round(s.now, exhausted)
+			if other.ActiveCount() != 1 {
+				t.Error("the later job was not placed in the round after")
+			}
+		})
+	}
+}
+
+// preemptLargeJob lets a job of high priority preempt a job of low priority with as many
+// tasks, which fill the machine. It returns the number of tasks that were examined.
+func preemptLargeJob(t *testing.T, tasks int, budget Budget) (s *cluster, low *pipeline.Job, examined int) {
+	t.Helper()
+	s = newCluster(t)
+	fill := func(j *pipeline.Job) { j.CPUs, j.Memory = 8/float64(tasks), 0 }
+	low = s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { fill(j); j.Priority = pipeline.Idle })
+	s.runRound()
+	if low.ActiveCount() != tasks {
+		t.Fatalf("%d of %d tasks were placed", low.ActiveCount(), tasks)
+	}
+	s.addLargeJob("req-2", tasks, func(j *pipeline.Job) { fill(j); j.Priority = pipeline.High })
+	before := s.counters.victimsExamined
+	s.Round(s.now, budget)
+	return s, low, s.counters.victimsExamined - before
+}
+
+// TestPreemptionIsLinear checks that a job that preempts all tasks of a machine examines each
+// of them a few times, not once for each of its own tasks.
+func TestPreemptionIsLinear(t *testing.T) {
+	const tasks = 2000
+	_, low, examined := preemptLargeJob(t, tasks, nil)
+	if low.ActiveCount() != 0 {
+		t.Errorf("%d tasks of the job of low priority remain, want 0, as none is persisted", low.ActiveCount())
+	}
+	if limit := 4 * tasks; examined > limit {
+		t.Errorf("%d tasks were examined for %d victims, want at most %d", examined, tasks, limit)
+	}
+}
+
+// TestPreemptionIsBoundedWithinJob checks that preemption for a large job stops when the
+// budget is exhausted, and that further rounds evict the rest and no more.
+func TestPreemptionIsBoundedWithinJob(t *testing.T) {
+	const tasks = 2000
+	s, low, _ := preemptLargeJob(t, tasks, exhausted)
+	if evicted := tasks - low.ActiveCount(); evicted != maxTasksPerStep {
+		t.Errorf("the first round evicted %d tasks, want maxTasksPerStep", evicted)
+	}
+	for range 2*tasks/maxTasksPerStep + 2 {
+		s.Round(s.now, exhausted)
+	}
+	high := s.jobs.Job("req-2")
+	if high.ActiveCount() != tasks || low.ActiveCount() != 0 {
+		t.Errorf("%d tasks of high and %d of low priority are placed, want %d and 0", high.ActiveCount(), low.ActiveCount(), tasks)
+	}
+}
+
+// BenchmarkLargeJobRound measures rounds that place or preempt all tasks of a large job, per
+// task.
+func BenchmarkLargeJobRound(b *testing.B) {
+	for _, tasks := range []int{1_000, 10_000, 100_000} {
+		reportPerTask := func(b *testing.B) {
+			b.Helper()
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(tasks), "ns/task")
+		}
+		b.Run(fmt.Sprintf("placement/tasks=%d", tasks), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				s := newCluster(b)
+				s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { j.CPUs, j.Memory = 8/float64(tasks), 0 })
+				b.StartTimer()
+				s.runRound()
+			}
+			reportPerTask(b)
+		})
+		b.Run(fmt.Sprintf("preemption/tasks=%d", tasks), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				s := newCluster(b)
+				fill := func(j *pipeline.Job) { j.CPUs, j.Memory = 8/float64(tasks), 0 }
+				s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { fill(j); j.Priority = pipeline.Idle })
+				s.runRound()
+				s.now += time.Second
+				s.addLargeJob("req-2", tasks, func(j *pipeline.Job) { fill(j); j.Priority = pipeline.High })
+				b.StartTimer()
+				s.runRound()
+			}
+			reportPerTask(b)
+		})
+	}
+}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -7,6 +7,10 @@
 	"lugward/internal/pipeline"
 )
 
+// maxTasksPerStep is the number of tasks of a job that a round assigns or finds slots for
+// between two checks of its budget.
+const maxTasksPerStep = 256
+
 // placement is a number of tasks of a job to assign to a machine.
 type placement struct {
 	capacity *Capacity
@@ -15,15 +19,17 @@
 
 // placeJob assigns as many tasks of a job as fit, by bin packing. A gang that has not
 // started is placed as a whole or not at all. Tasks of a gang that has started are
-// placed as soon as there is capacity for them.
-func (r *round) placeJob(job *pipeline.Job) {
+// placed as soon as there is capacity for them. finished is false if the round has exhausted
+// its budget before the last step. A gang that was begun then continues in the next round,
+// before any other job.
+func (r *round) placeJob(job *pipeline.Job) (finished bool) {
 	wanted := r.placeableTasks(job)
 	if wanted == 0 {
-		return
+		return true
 	}
 	machines := r.rankMachines(job)
 	if len(machines) == 0 {
-		return
+		return true
 	}
 	placed := r.TasksByZone(job)
 	if job.SameZone {
@@ -31,12 +37,31 @@
 	}
 	placements, remaining := fillMachines(job, machines, placed, wanted)
 	if job.Shape == pipeline.Gang && remaining > 0 && job.ActiveCount() == 0 {
-		return
+		return true
 	}
-	attempt := nextAttempt(job)
-	for _, placement := range placements {
-		r.assignTasks(job, placement, attempt)
+	return r.assignInSteps(job, placements, nextAttempt(job))
+}
+
+// assignInSteps assigns the tasks of a job as the placements say. It checks the budget after
+// each maxTasksPerStep tasks, and reports whether it has assigned all of them.
+func (r *round) assignInSteps(job *pipeline.Job, placements []placement, attempt uint64) (finished bool) {
+	left := maxTasksPerStep
+	for len(placements) > 0 {
+		if left == 0 {
+			if r.budget.exhausted() {
+				return false
+			}
+			left = maxTasksPerStep
+		}
+		next := &placements[0]
+		tasks := min(next.tasks, left)
+		r.assignTasks(job, placement{next.capacity, tasks}, attempt)
+		left -= tasks
+		if next.tasks -= tasks; next.tasks == 0 {
+			placements = placements[1:]
+		}
 	}
+	return true
 }
 
 // placeableTasks returns how many tasks of a job may be placed within its team's limit:
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -15,21 +15,33 @@
 // preempt evicts less important tasks to free capacity for the startable tasks of a job
 // that do not fit: for all tasks of a gang or for none. Capacity that evictions in
 // progress will free is used first, so that a job does not evict more than it needs. It
-// returns the number of tasks that still need a reservation.
-func (r *round) preempt(job *pipeline.Job) (remaining int) {
+// returns the number of tasks that still need a reservation. finished is false if the round
+// has exhausted its budget before the last step.
+func (r *round) preempt(job *pipeline.Job) (remaining int, finished bool) {
 	remaining = min(job.StartableCount(), r.TasksWithinLimitGiven(job, r.reservedUsage[job.Team]))
 	if job.Shape == pipeline.Gang && remaining < job.StartableCount() {
-		return 0 // a gang is placed as a whole or not at all
-	}
-	if remaining == 0 || !r.mayPreemptAny(job) {
-		return remaining
+		return 0, true // a gang is placed as a whole or not at all
 	}
 	attempt := nextAttempt(job)
-	for _, slot := range r.cheapestPreemption(job, remaining) {
-		r.useSlot(job, slot, attempt)
-		remaining--
+	costOf := r.preemptionCostFunc(job)
+	for remaining > 0 && r.mayPreemptAny(job) {
+		count := remaining
+		if job.Shape != pipeline.Gang {
+			count = min(count, maxTasksPerStep)
+		}
+		slots := r.cheapestPreemption(job, count, costOf)
+		for _, slot := range slots {
+			r.useSlot(job, slot, attempt)
+			remaining--
+		}
+		if len(slots) < count || remaining == 0 {
+			break
+		}
+		if r.budget.exhausted() {
+			return remaining, false
+		}
 	}
-	return remaining
+	return remaining, true
 }
 
 // mayPreemptAny reports whether there may be tasks that a job may preempt. A job at fault
@@ -41,11 +53,10 @@
 
 // cheapestPreemption returns slots for up to count tasks of a job, with the victims to
 // evict, from the zone with the lowest total cost.
-func (r *round) cheapestPreemption(job *pipeline.Job, count int) []slot {
+func (r *round) cheapestPreemption(job *pipeline.Job, count int, costOf slotCostFunc) []slot {
 	var best []slot
 	var bestZone pipeline.ZoneSelector
 	least := math.Inf(1)
-	costOf := r.preemptionCostFunc(job)
 	for _, zone := range r.zonesToSearch(job) {
 		slots := r.cheapestSlots(slotSearch{job: job, zone: zone, count: count, costOf: costOf})
 		if len(slots) == 0 || (job.Shape == pipeline.Gang && len(slots) < count) {
@@ -64,15 +75,16 @@
 }
 
 // preemptionCostFunc returns a cost function for slots: the eviction cost of the victims
-// plus the weighted time to fetch the job's image.
+// plus the weighted time to fetch the job's image. It may be used for several searches.
 func (r *round) preemptionCostFunc(job *pipeline.Job) slotCostFunc {
+	search := victimSearch{round: r, job: job, queues: map[pipeline.MachineIndex][]victimCandidate{}}
 	return func(free *Capacity, claimed victimSet) (slotCost, bool) {
 		afterEvictions := free.afterEvictions()
 		fetch := imageFetchWeight * free.fetchTime(job)
 		if afterEvictions.FittingTasks(&job.Spec) > 0 {
 			return slotCost{cost: fetch}, true
 		}
-		victims, cost := r.cheapestVictims(job, afterEvictions, claimed)
+		victims, cost := search.cheapestVictims(afterEvictions, claimed)
 		return slotCost{cost + fetch, victims}, victims != nil
 	}
 }
@@ -104,16 +116,16 @@
 
 // recordEviction records that a task of the machine is being evicted.
 func (c *Capacity) recordEviction(task *pipeline.Assignment) {
-	c.evicting = append(c.evicting, task)
+	c.evicting.CPUs += task.Job.CPUs
+	c.evicting.GPUs += task.Job.GPUs
+	c.evicting.Memory += task.Job.Memory
 }
 
 // afterEvictions returns the capacity as it will be once the tasks that are being evicted
 // have terminated.
 func (c *Capacity) afterEvictions() Capacity {
 	free := *c
-	for _, task := range c.evicting {
-		free.release(&task.Job.Spec)
-	}
+	free.releaseUsage(c.evicting)
 	return free
 }
 
--- a/internal/scheduler/preemption_victims.go
+++ b/internal/scheduler/preemption_victims.go
@@ -35,23 +35,27 @@
 	)
 }
 
+// victimSearch finds tasks to preempt for the slots of one job.
+type victimSearch struct {
+	*round
+	job *pipeline.Job
+	// queues holds the candidates of machines from which victims have been claimed,
+	// cheapest first, without those at the head that are claimed or evicted since. Sorting
+	// them again for each slot would cost the square of a machine's tasks.
+	queues map[pipeline.MachineIndex][]victimCandidate
+}
+
 // cheapestVictims finds tasks to preempt on a machine, cheapest first, until a task of
 // the job fits. It does not choose victims that are claimed already. free is the free
 // capacity once the tasks that are being evicted have terminated. cost is in seconds of
 // work lost or delayed. victims is nil if preemption cannot free enough capacity.
-func (r *round) cheapestVictims(job *pipeline.Job, free Capacity, claimed victimSet) (victims []*pipeline.Assignment, cost float64) {
-	candidates := r.scratch.victims[:0]
-	for _, task := range r.jobs.AssignmentsOn(free.Machine.Index) {
-		if !claimed[task] && isPreemptible(task) && !isProtectedStart(task, r.now) && r.mayPreempt(job, task) {
-			candidates = append(candidates, victimCandidate{task, evictionCost(task, r.now)})
-		}
-	}
-	r.scratch.victims = candidates
-	slices.SortFunc(candidates, compareVictims)
+func (s *victimSearch) cheapestVictims(free Capacity, claimed victimSet) (victims []*pipeline.Assignment, cost float64) {
+	candidates := s.candidates(free.Machine.Index, claimed)
 	for i, candidate := range candidates {
+		s.counters.victimsExamined++
 		cost += candidate.cost
 		free.release(&candidate.task.Job.Spec)
-		if free.FittingTasks(&job.Spec) > 0 {
+		if free.FittingTasks(&s.job.Spec) > 0 {
 			for _, victim := range candidates[:i+1] {
 				victims = append(victims, victim.task)
 			}
@@ -61,6 +65,42 @@
 	return nil, 0
 }
 
+// candidates returns the tasks of a machine that the job may preempt and that are not
+// claimed, cheapest first. Victims are claimed from the head of this list only.
+func (s *victimSearch) candidates(machine pipeline.MachineIndex, claimed victimSet) []victimCandidate {
+	queue, ok := s.queues[machine]
+	switch {
+	case !ok && len(claimed) == 0:
+		s.scratch.victims = s.appendCandidates(s.scratch.victims[:0], machine, claimed)
+		return s.scratch.victims
+	case !ok:
+		queue = s.appendCandidates(nil, machine, claimed)
+	}
+	for len(queue) > 0 && (claimed[queue[0].task] || !s.isCandidate(queue[0].task)) {
+		queue = queue[1:]
+	}
+	s.queues[machine] = queue
+	return queue
+}
+
+// isCandidate reports whether the job may preempt a task now.
+func (s *victimSearch) isCandidate(task *pipeline.Assignment) bool {
+	return isPreemptible(task) && !isProtectedStart(task, s.now) && s.mayPreempt(s.job, task)
+}
+
+// appendCandidates appends the tasks of a machine that the job may preempt and that are not
+// claimed to an empty list, cheapest first.
+func (s *victimSearch) appendCandidates(list []victimCandidate, machine pipeline.MachineIndex, claimed victimSet) []victimCandidate {
+	for task := range s.jobs.AssignmentsOn(machine) {
+		s.counters.victimsExamined++
+		if !claimed[task] && s.isCandidate(task) {
+			list = append(list, victimCandidate{task, evictionCost(task, s.now)})
+		}
+	}
+	slices.SortFunc(list, compareVictims)
+	return list
+}
+
 // isPreemptible reports whether a task can be preempted by any job. Tasks of gangs cannot,
 // since evicting one of them evicts the whole gang.
 func isPreemptible(task *pipeline.Assignment) bool {
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -121,8 +121,8 @@
 }
 
 // scheduleJobs schedules the queued jobs from index first until the budget is
-// exhausted. The job at first is scheduled regardless of the budget, so that every
-// round makes progress.
+// exhausted, which is also checked within large jobs. The first step of the job at first
+// is made regardless of the budget, so that every round makes progress.
 func (r *round) scheduleJobs(first int) {
 	for i, job := range r.queue[first:] {
 		if i > 0 && r.budget.exhausted() {
@@ -130,19 +130,37 @@
 			r.counters.interruptedRounds++
 			return
 		}
-		r.scheduleJob(job)
+		if !r.scheduleJob(job) {
+			r.interruptWithin(job)
+			return
+		}
 	}
 }
 
 // scheduleJob places the tasks of a job that fit, preempts other tasks for the rest, and
-// reserves capacity for those that remain.
-func (r *round) scheduleJob(job *pipeline.Job) {
-	r.placeJob(job)
+// reserves capacity for those that remain. finished is false if the round has exhausted its
+// budget within the job, after at least one step.
+func (r *round) scheduleJob(job *pipeline.Job) (finished bool) {
+	if !r.placeJob(job) {
+		return false
+	}
 	if job.StartableCount() == 0 {
-		return
+		return true
 	}
-	remaining := r.preempt(job)
-	r.reserve(job, remaining)
+	remaining, finished := r.preempt(job)
+	if finished {
+		r.reserve(job, remaining)
+	}
+	return finished
+}
+
+// interruptWithin records that the next round resumes with the given job, some of whose tasks
+// have been placed. The job's own reservations are dropped, as it makes them again.
+func (r *round) interruptWithin(job *pipeline.Job) {
+	r.interruption.next = job
+	r.interruption.reservations = slices.DeleteFunc(r.interruption.reservations, func(reservation reservation) bool { return reservation.job == job })
+	r.counters.interruptedRounds++
+	r.jobs.RequestRound()
 }
 
 // blockedJobs lists the queued jobs that still have startable tasks.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,12 +48,13 @@
 	interruptedRounds    int // rounds that exhausted their budget since ConsumeInterruptedRounds was last called
 	capacitiesRecomputed int
 	machinesVisited      int // machines examined while placing tasks or searching slots
+	victimsExamined      int // tasks examined as candidates for preemption
 }
 
 // scratch holds buffers that are reused between calls.
 type scratch struct {
 	slots   slotHeap          // used by cheapestSlots
-	victims []victimCandidate // used by cheapestVictims
+	victims []victimCandidate // used by victimSearch
 }
 
 // New returns a scheduler.
--- a/internal/scheduler/zone_constraints.go
+++ b/internal/scheduler/zone_constraints.go
@@ -15,7 +15,8 @@
 type ZoneCounts map[pipeline.ZoneIndex]int
 
 // TasksByZone returns the number of active tasks of a job, those that may be on a
-// machine, by zone.
+// machine, by zone. The result is empty for a job whose tasks may be in any zones, since it
+// is not needed then.
 func (s *Scheduler) TasksByZone(job *pipeline.Job) ZoneCounts {
 	counts := ZoneCounts{}
 	s.countTasks(job, counts)
@@ -25,12 +26,12 @@
 // countTasks adds the active tasks of a job to counts. It is a separate function so that
 // the compiler can inline TasksByZone and keep the map on the stack.
 func (s *Scheduler) countTasks(job *pipeline.Job, counts ZoneCounts) {
-	for task := range job.Assignments() {
+	for index, tasks := range job.TasksByMachine() {
 		zone := unknownZone
-		if machine := s.workers.MachineAt(task.Machine); machine != nil {
+		if machine := s.workers.MachineAt(index); machine != nil {
 			zone = machine.Zone()
 		}
-		counts[zone]++
+		counts[zone] += tasks
 	}
 }
 
--- a/internal/worker/assignments.go
+++ b/internal/worker/assignments.go
@@ -10,22 +10,16 @@
 // sortedAssignments returns the assignments of a machine, ordered by the revision at
 // which their jobs became ready and then by task number.
 func (r *Registry) sortedAssignments(machine *Machine) []*pipeline.Assignment {
-	assignments := r.jobs.AssignmentsOn(machine.Index)
-	if len(assignments) == 0 {
-		return nil
-	}
-	sorted := slices.Clone(assignments)
-	slices.SortFunc(sorted, func(a, b *pipeline.Assignment) int {
+	return slices.SortedFunc(r.jobs.AssignmentsOn(machine.Index), func(a, b *pipeline.Assignment) int {
 		return cmp.Or(cmp.Compare(a.Job.ReadyRevision, b.Job.ReadyRevision), cmp.Compare(a.Task, b.Task))
 	})
-	return sorted
 }
 
 // AllPersisted reports whether all assignments of the machine are persisted without a
 // pending write. Otherwise a response sent now could not contain the commands that
 // become possible shortly afterwards, once those writes are committed.
 func (r *Registry) AllPersisted(machine pipeline.MachineIndex) bool {
-	for _, assignment := range r.jobs.AssignmentsOn(machine) {
+	for assignment := range r.jobs.AssignmentsOn(machine) {
 		if !assignment.FullyPersisted() {
 			return false
 		}
@@ -44,7 +38,7 @@
 	if machine == nil || !machine.reachable() || machine.leaving() {
 		return false
 	}
-	for _, assignment := range r.jobs.AssignmentsOn(machine.Index) {
+	for assignment := range r.jobs.AssignmentsOn(machine.Index) {
 		if assignment.Persisted() {
 			return false
 		}
--- a/internal/worker/eviction.go
+++ b/internal/worker/eviction.go
@@ -29,6 +29,9 @@
 // evictGang evicts all tasks of a gang. The gang can start again once all of them have
 // terminated.
 func (r *Registry) evictGang(job *pipeline.Job) {
+	if job.Terminating() && job.AllEvicting() {
+		return // each of its tasks that exits leads here again
+	}
 	r.jobs.BeginTermination(job)
 	for assignment := range job.Assignments() {
 		r.evictAssignment(assignment, GracePeriod(job))
--- a/internal/worker/heartbeat.go
+++ b/internal/worker/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"lugward/internal/jsonwire"
 )
@@ -37,9 +36,13 @@
 	}
 }
 
-// lists reports whether a heartbeat lists a task.
-func (h *Heartbeat) lists(task string) bool {
-	return slices.ContainsFunc(h.Tasks, func(status TaskStatus) bool { return status.Task == task })
+// listedTasks returns the names of the tasks that a heartbeat lists.
+func (h *Heartbeat) listedTasks() map[string]bool {
+	listed := make(map[string]bool, len(h.Tasks))
+	for i := range h.Tasks {
+		listed[h.Tasks[i].Task] = true
+	}
+	return listed
 }
 
 // exited reports whether the task has exited.
--- a/internal/worker/reachability.go
+++ b/internal/worker/reachability.go
@@ -68,11 +68,15 @@
 // checkStarts checks whether the heartbeats of a machine list the tasks that it was
 // commanded to start.
 func (r *Registry) checkStarts(machine *Machine, heartbeat *Heartbeat, now event.Time) {
-	for _, assignment := range r.jobs.AssignmentsOn(machine.Index) {
+	var listed map[string]bool
+	for assignment := range r.jobs.AssignmentsOn(machine.Index) {
 		if !assignment.AwaitsStart(heartbeat.Sequence) {
 			continue
 		}
-		if heartbeat.lists(taskName(assignment)) {
+		if listed == nil {
+			listed = heartbeat.listedTasks()
+		}
+		if listed[taskName(assignment)] {
 			assignment.ClearMissedHeartbeats()
 			continue
 		}
@@ -90,7 +94,7 @@
 func (r *Registry) recordUnreachable(machine *Machine, now event.Time) {
 	r.log.Info("machine unreachable: its heartbeats show that responses do not arrive",
 		"machine", machine.Name,
-		"tasks", len(r.jobs.AssignmentsOn(machine.Index)))
+		"tasks", r.jobs.AssignmentCount(machine.Index))
 	machine.unreachableSince = now
 	machine.unreachableIncarnation = machine.incarnation
 	r.evictUnstarted(machine)
--- a/internal/worker/task_status.go
+++ b/internal/worker/task_status.go
@@ -140,6 +140,9 @@
 		r.jobs.RecordCompletion(job, assignment.Task)
 		return
 	}
+	if job.AllTasksCompleted() {
+		return // recorded with the first of its tasks
+	}
 	for task := range job.TaskCount {
 		r.jobs.RecordCompletion(job, task)
 	}
--- a/internal/worker/termination.go
+++ b/internal/worker/termination.go
@@ -58,7 +58,7 @@
 	intervalOver := now-machine.lastTerminations >= terminationInterval
 	ready := intervalOver && machine.lastHeartbeat != 0 && machine.addr != ""
 	var commands []Command
-	for _, assignment := range r.jobs.AssignmentsOn(machine.Index) {
+	for assignment := range r.jobs.AssignmentsOn(machine.Index) {
 		termination := terminationOf(assignment)
 		more = more || termination.required
 		if ready && termination.required && assignment.FullyPersisted() && notTerminating(assignment) {
@@ -99,7 +99,7 @@
 // only if this is proven.
 func (r *Registry) RecordTermination(machine *Machine) {
 	if machine.lastHeartbeat != 0 {
-		r.log.Info("recorded all tasks on machine as terminated", "machine", machine.Name, "tasks", len(r.jobs.AssignmentsOn(machine.Index)))
+		r.log.Info("recorded all tasks on machine as terminated", "machine", machine.Name, "tasks", r.jobs.AssignmentCount(machine.Index))
 	}
 	for _, assignment := range r.sortedAssignments(machine) {
 		if assignment.Job.IsGang() {
