Store the edges of the job graph as numbers

Each edge was kept three times and as text: in the page of the list, in the list of the linked job, and in the upstream job's set of dependents, 80 to 90 bytes together. The controllers exceeded their memory, were ended by the platform, read everything again at the start and exceeded it again.

An edge is now two numbers of four bytes: the vertex of the upstream job in the list of the held job, and the link of the held job in the list of the upstream job. The lists need not be alike. A job takes the list from its pages when it is linked, and drops it when it is no longer held.

Tests that looked into the former sets check the same through the new lists.

--- a/internal/api/upstream_test.go
+++ b/internal/api/upstream_test.go
@@ -26,8 +26,8 @@
 	n.expect("depends on itself", n.submit(4, `,"awaits":["req-4"]`), 422, "")
 	n.expect("unknown upstream job", n.submit(4, `,"awaits":["req-1","req-99"]`), 422, "")
 	n.expect("depends on other jobs", n.submit(4, `,"awaits":["req-1","req-2","req-1"]`), 201, "queued")
-	if j := n.jobs.Job("req-4"); j.Ready || strings.Join(j.Upstream, " ") != "req-1 req-2" || j.SubmittedAt == 0 {
-		t.Errorf("req-4: got Ready = %t, Upstream = %v, SubmittedAt = %d; want false, [req-1 req-2] and a time", j.Ready, j.Upstream, j.SubmittedAt)
+	if j := n.jobs.Job("req-4"); j.Ready || strings.Join(n.jobs.UpstreamIDs(j), " ") != "req-1 req-2" || j.SubmittedAt == 0 {
+		t.Errorf("req-4: got Ready = %t, upstream jobs %v, SubmittedAt = %d; want false, [req-1 req-2] and a time", j.Ready, n.jobs.UpstreamIDs(j), j.SubmittedAt)
 	}
 	// A retry gets the job's status before its upstream list is checked.
 	for _, list := range []string{`["req-99"]`, `["req-4"]`, `[]`, `7`} {
--- a/internal/pipeline/cancellation.go
+++ b/internal/pipeline/cancellation.go
@@ -30,11 +30,8 @@
 		job.upstreamCancelled = true
 		t.graph.upstreamCancelled[job] = true
 		t.graph.cancelQueue = append(t.graph.cancelQueue, job)
-		t.unlink(job)
-		for dependent := range t.graph.dependents[job.ID] {
-			stack = append(stack, dependent)
-		}
-		delete(t.graph.dependents, job.ID)
+		t.forgetUpstream(job)
+		stack = append(stack, t.graph.takeDependents(job.ID)...)
 	}
 	slices.SortFunc(t.graph.cancelQueue[begin:], byCreateRevision)
 }
--- a/internal/pipeline/graph.go
+++ b/internal/pipeline/graph.go
@@ -11,9 +11,9 @@
 // its readiness is persisted. Only held jobs have edges in the graph: once a job is ready,
 // all of its upstream jobs are done.
 type graph struct {
-	dependents map[string]map[*Job]bool // by upstream ID, the held jobs that wait for the upstream job
-	releasable map[*Job]bool            // held jobs whose upstream jobs are all done
-	stale      map[*Job]bool            // jobs whose effective values must be recomputed or propagated
+	edges
+	releasable map[*Job]bool // held jobs whose upstream jobs are all done
+	stale      map[*Job]bool // jobs whose effective values must be recomputed or propagated
 
 	// upstreamCancelled holds the jobs downstream of a cancelled job whose own terminal
 	// record is not persisted. cancelQueue holds them in the order in which their
@@ -29,9 +29,10 @@
 // its whole list of upstream jobs is known.
 type graphLinks struct {
 	linked             bool
-	linkedUpstream     []string // sorted IDs of the upstream jobs, while linked
-	unfinishedUpstream int      // number of upstream jobs without a terminal record
-	upstreamCancelled  bool     // a direct or indirect upstream job is cancelled
+	link               linkIndex     // identifies the job in lists of dependents, while linked
+	upstream           []vertexIndex // upstream jobs of a held job; while it is not linked, those that its record lists
+	unfinishedUpstream int           // number of upstream jobs without a terminal record
+	upstreamCancelled  bool          // a direct or indirect upstream job is cancelled
 
 	deadlineAt         event.Time // deadline of the job itself
 	inheritStale       bool       // the effective values must be recomputed
@@ -41,7 +42,7 @@
 
 func newGraph() graph {
 	return graph{
-		dependents:        map[string]map[*Job]bool{},
+		edges:             newEdges(),
 		releasable:        map[*Job]bool{},
 		stale:             map[*Job]bool{},
 		upstreamCancelled: map[*Job]bool{},
@@ -51,20 +52,52 @@
 // updateGraph updates the graph from the current record of a job.
 func (t *Table) updateGraph(job *Job) {
 	job.deadlineAt = t.ownDeadline(job)
-	job.Chained = job.Chained || len(job.Upstream) > 0 || job.UpstreamPages > 0
-	if job.linked || len(t.graph.dependents[job.ID]) > 0 {
+	if job.linked || t.graph.hasDependents(job.ID) {
 		t.markInheritanceStale(job)
 	} else {
 		job.EffectivePriority = job.Priority
 		job.EffectiveDeadline = job.deadlineAt
 	}
 	if job.Ready || job.TerminalPhase != Queued {
-		t.unlink(job)
+		t.forgetUpstream(job)
 		return
 	}
 	t.linkIfComplete(job)
 }
 
+// takeUpstream replaces the IDs that a decoded job record lists by their vertices, which take
+// less memory. The list of a job that is linked does not change any more.
+func (t *Table) takeUpstream(job *Job) {
+	job.Chained = job.Chained || len(job.Upstream) > 0 || job.UpstreamPages > 0
+	if !job.linked {
+		t.graph.release(job.upstream)
+		job.upstream = nil
+		if !job.Ready && job.TerminalPhase == Queued {
+			job.upstream = t.graph.acquire(job.Upstream)
+		}
+	}
+	job.Upstream = nil
+}
+
+// forgetUpstream removes a job that is no longer held from the graph, with its list of
+// upstream jobs.
+func (t *Table) forgetUpstream(job *Job) {
+	t.unlink(job)
+	t.graph.release(job.upstream)
+	job.upstream = nil
+	t.pages.forgetLists(job.ID, &t.graph.edges)
+}
+
+// UpstreamIDs returns the IDs of the upstream jobs of a held job. If its record does not list
+// them, the result is empty until all pages are known.
+func (t *Table) UpstreamIDs(job *Job) []string {
+	ids := make([]string, len(job.upstream))
+	for i, vertex := range job.upstream {
+		ids[i] = t.graph.id(vertex)
+	}
+	return ids
+}
+
 // ownDeadline returns the deadline that the user set for a job. It is relative to the time
 // of submission. If that time is unknown, it is relative to the time when the job became
 // ready, or else to the current time, when the job is first seen.
@@ -94,24 +127,26 @@
 	if job.linked || job.upstreamCancelled || job.Ready || job.ModRevision == 0 || job.TerminalPhase != Queued {
 		return
 	}
-	list, complete := t.pages.list(job)
-	if !complete {
-		return
+	if job.UpstreamPages > 0 {
+		if !t.pages.complete(job) {
+			return
+		}
+		job.upstream = t.pages.takeLists(job)
 	}
-	slices.Sort(list)
-	t.link(job, slices.Compact(list))
+	t.link(job)
 }
 
 // link adds a held job to the dependents of its unfinished upstream jobs.
-func (t *Table) link(job *Job, list []string) {
+func (t *Table) link(job *Job) {
 	job.linked = true
-	job.linkedUpstream = list
+	job.link = t.graph.newLink(job)
 	job.unfinishedUpstream = 0
 	// No upstream job inherits from this job yet, even if the job was linked before.
 	job.propagatedPriority = Idle
 	job.propagatedDeadline = NoDeadline
 	upstreamCancelled := false
-	for _, id := range list {
+	for _, vertex := range job.upstream {
+		id := t.graph.id(vertex)
 		upstream := t.byID[id]
 		terminal, _ := t.Terminal.Get(id)
 		switch phase := terminal.Phase; {
@@ -120,7 +155,7 @@
 			upstreamCancelled = true
 		default:
 			job.unfinishedUpstream++
-			t.addDependent(id, job)
+			t.graph.addDependent(vertex, job.link)
 		}
 	}
 	if upstreamCancelled {
@@ -133,50 +168,32 @@
 	t.markInheritanceStale(job)
 }
 
-func (t *Table) addDependent(id string, job *Job) {
-	if t.graph.dependents[id] == nil {
-		t.graph.dependents[id] = map[*Job]bool{}
-	}
-	t.graph.dependents[id][job] = true
-}
-
-// unlink removes a job from the dependents of its upstream jobs.
+// unlink removes a job from the dependents of its upstream jobs, which may inherit lower values
+// then.
 func (t *Table) unlink(job *Job) {
 	if !job.linked {
 		return
 	}
-	for _, id := range job.linkedUpstream {
-		t.removeDependent(id, job)
+	for _, vertex := range job.upstream {
+		if upstream := t.byID[t.graph.id(vertex)]; upstream != nil && upstream.TerminalPhase == Queued {
+			t.markInheritanceStale(upstream)
+		}
 	}
+	t.graph.endLink(job.link, job.upstream)
 	job.linked = false
-	job.linkedUpstream = nil
 	job.unfinishedUpstream = 0
 	delete(t.graph.releasable, job)
 }
 
-func (t *Table) removeDependent(id string, job *Job) {
-	dependents := t.graph.dependents[id]
-	if !dependents[job] {
-		return
-	}
-	delete(dependents, job)
-	if len(dependents) == 0 {
-		delete(t.graph.dependents, id)
-	}
-	if upstream := t.byID[id]; upstream != nil {
-		t.markInheritanceStale(upstream)
-	}
-}
-
 // propagateTerminal applies the terminal record of a job to its dependent jobs.
 func (t *Table) propagateTerminal(id string, phase Phase) {
-	dependents := t.graph.dependents[id]
-	delete(t.graph.dependents, id)
+	dependents := t.graph.takeDependents(id)
 	if phase == Cancelled {
-		t.cancelDownstream(inCreationOrder(dependents)...)
+		slices.SortFunc(dependents, byCreateRevision)
+		t.cancelDownstream(dependents...)
 		return
 	}
-	for job := range dependents {
+	for _, job := range dependents {
 		job.unfinishedUpstream--
 		if job.unfinishedUpstream == 0 {
 			t.graph.releasable[job] = true
--- a/internal/pipeline/graph_test.go
+++ b/internal/pipeline/graph_test.go
@@ -32,8 +32,8 @@
 	f.store(record.KindJob, d.ID, EncodeJob(f.Names, &ready))
 	expect(t, "releasable jobs after the readiness is persisted", idsOf(f.Releasable()), "")
 	expect(t, "ready jobs after the readiness is persisted", idsOf(f.ReadyJobs()), "4")
-	if len(f.graph.dependents)+len(f.graph.releasable) != 0 {
-		t.Errorf("graph has %d dependents and %d releasable jobs, want 0 and 0", len(f.graph.dependents), len(f.graph.releasable))
+	if f.graph.entries+f.graph.references+len(f.graph.releasable) != 0 {
+		t.Errorf("graph has %d dependents, %d references and %d releasable jobs, want none", f.graph.entries, f.graph.references, len(f.graph.releasable))
 	}
 }
 
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -91,10 +91,11 @@
 	Owner   string        // label of the controller that writes the job's readiness and cancellation
 	unknown record.Fields // fields of the job record written by a later version
 
-	// Upstream lists the IDs of the upstream jobs in the job record itself. If
-	// UpstreamPages is not zero, the list is stored in that number of pages instead,
-	// and SubmissionRevision is the revision of page 0. The revision distinguishes
-	// these pages from those left behind by another attempt to submit the job.
+	// Upstream lists the IDs of the upstream jobs in a job record that is encoded. A job of
+	// the table has none, see Table.UpstreamIDs. If UpstreamPages is not zero, the list is
+	// stored in that number of pages instead, and SubmissionRevision is the revision of page
+	// 0. The revision distinguishes these pages from those left behind by another attempt to
+	// submit the job.
 	Upstream           []string
 	UpstreamPages      int
 	SubmissionRevision uint64
--- a/internal/pipeline/job_end.go
+++ b/internal/pipeline/job_end.go
@@ -18,6 +18,7 @@
 	}
 	t.Terminal.add(id, terminal)
 	t.propagateTerminal(id, terminal.Phase)
+	t.pages.forgetLists(id, &t.graph.edges)
 	if job := t.byID[id]; job != nil {
 		t.endJob(job, terminal.Phase)
 	}
@@ -27,7 +28,7 @@
 // endJob applies a terminal record to the state of its job.
 func (t *Table) endJob(job *Job, phase Phase) {
 	job.TerminalPhase = phase
-	t.unlink(job)
+	t.forgetUpstream(job)
 	t.unmarkUpstreamCancelled(job)
 	if job.activeCount > 0 {
 		t.endedWithTasks[job] = true
--- a/internal/pipeline/priority_inheritance.go
+++ b/internal/pipeline/priority_inheritance.go
@@ -85,7 +85,7 @@
 	job.inheritStale = false
 	job.EffectivePriority = job.Priority
 	job.EffectiveDeadline = job.deadlineAt
-	for dependent := range t.graph.dependents[job.ID] {
+	for dependent := range t.graph.dependents(job.ID) {
 		job.inheritFrom(dependent)
 	}
 }
@@ -100,8 +100,11 @@
 	relaxed := job.EffectivePriority < job.propagatedPriority || job.EffectiveDeadline > job.propagatedDeadline
 	job.propagatedPriority = job.EffectivePriority
 	job.propagatedDeadline = job.EffectiveDeadline
-	for _, id := range job.linkedUpstream {
-		upstream := t.byID[id]
+	if !job.linked {
+		return
+	}
+	for _, vertex := range job.upstream {
+		upstream := t.byID[t.graph.id(vertex)]
 		if upstream == nil || upstream.TerminalPhase != Queued {
 			continue
 		}
--- a/internal/pipeline/priority_inheritance_test.go
+++ b/internal/pipeline/priority_inheritance_test.go
@@ -1,13 +1,25 @@
 package pipeline
 
 import (
-	"slices"
 	"testing"
 	"time"
 
 	"lugward/internal/event"
 )
 
+// waitsFor reports whether a job is linked and its list names an upstream job.
+func (f *fixture) waitsFor(job *Job, upstream string) bool {
+	if !job.linked {
+		return false
+	}
+	for _, vertex := range job.upstream {
+		if f.graph.id(vertex) == upstream {
+			return true
+		}
+	}
+	return false
+}
+
 // checkDerived compares the effective values with a recursive computation over all jobs.
 func checkDerived(t *testing.T, f *fixture) {
 	t.Helper()
@@ -16,7 +28,7 @@
 	derive = func(job *Job) (Priority, event.Time) {
 		priority, deadline := job.Priority, job.deadlineAt
 		for _, dependent := range f.byID {
-			if dependent.Ready || dependent.TerminalPhase != Queued || dependent.upstreamCancelled || !slices.Contains(dependent.linkedUpstream, job.ID) {
+			if dependent.Ready || dependent.TerminalPhase != Queued || dependent.upstreamCancelled || !f.waitsFor(dependent, job.ID) {
 				continue
 			}
 			dependentPriority, dependentDeadline := derive(dependent)
@@ -82,8 +94,8 @@
 		t.Errorf("effective priority %v and deadline %v of the first job, want Production and the last deadline less all estimated runtimes", root.EffectivePriority, root.EffectiveDeadline)
 	}
 	f.storeTerminal(1, Cancelled)
-	if len(f.graph.upstreamCancelled) != n || len(f.graph.dependents) != 0 || f.Job(id(n+1)).Phase() != Cancelled {
-		t.Errorf("%d jobs have a cancelled upstream job and %d have dependents, want 4000 and 0, with the last job cancelled", len(f.graph.upstreamCancelled), len(f.graph.dependents))
+	if len(f.graph.upstreamCancelled) != n || f.graph.entries != 0 || f.Job(id(n+1)).Phase() != Cancelled {
+		t.Errorf("%d jobs have a cancelled upstream job and there are %d dependents, want 4000 and 0, with the last job cancelled", len(f.graph.upstreamCancelled), f.graph.entries)
 	}
 }
 
--- a/internal/pipeline/readiness.go
+++ b/internal/pipeline/readiness.go
@@ -76,6 +76,9 @@
 	ready.ReadyAt = t.UnixMS(now)
 	ready.UpstreamPages = 0
 	ready.SubmissionRevision = 0
+	if job.UpstreamPages == 0 {
+		ready.Upstream = t.UpstreamIDs(job)
+	}
 	job.submitRecordWrite(&t.graph.readinessWritesInFlight, now, submitter, &kv.Txn{
 		Priority: kv.PriorityPlacement,
 		Writes:   []kv.Write{{Key: record.JobKey(job.ID), Data: EncodeJob(t.Names, &ready)}},
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -175,6 +175,7 @@
 		return err
 	}
 	job.ModRevision = modRevision
+	t.takeUpstream(job)
 	if job.Ready && !wasReady {
 		job.ReadyRevision = modRevision
 		job.ReadySince = max(t.now, 1)
@@ -192,7 +193,7 @@
 		return
 	}
 	job.ModRevision = 0
-	t.unlink(job)
+	t.forgetUpstream(job)
 	t.unmarkUpstreamCancelled(job)
 	t.removeIfNoRecords(job)
 }
--- a/internal/pipeline/upstream_pages.go
+++ b/internal/pipeline/upstream_pages.go
@@ -25,7 +25,7 @@
 // upstreamPage is one persisted page of a job's list of upstream jobs.
 type upstreamPage struct {
 	modRevision uint64
-	ids         []string
+	upstream    []vertexIndex // nil once the job is linked or no longer held
 }
 
 // upstreamPages holds the persisted pages of a job's list of upstream jobs.
@@ -53,6 +53,14 @@
 	pages.byNumber[number] = page
 }
 
+// upstream returns the upstream jobs in a page of a job's list, nil if there is no such page.
+func (i *upstreamPageIndex) upstream(id string, number int) []vertexIndex {
+	if pages := i.byJob[id]; pages != nil {
+		return pages.byNumber[number].upstream
+	}
+	return nil
+}
+
 // remove removes a page of a job's list.
 func (i *upstreamPageIndex) remove(id string, number int) {
 	pages := i.byJob[id]
@@ -65,43 +73,79 @@
 	}
 }
 
-// list returns the list of a job's upstream jobs. complete is false if pages are missing or
-// were written by an earlier attempt to submit the job.
-func (i *upstreamPageIndex) list(job *Job) (list []string, complete bool) {
-	if job.UpstreamPages == 0 {
-		return slices.Clone(job.Upstream), true
+// forgetLists releases the upstream jobs in the pages of a job that is no longer held. The
+// pages remain until they are deleted in the state service.
+func (i *upstreamPageIndex) forgetLists(id string, edges *edges) {
+	pages := i.byJob[id]
+	if pages == nil {
+		return
+	}
+	for number, page := range pages.byNumber {
+		edges.release(page.upstream)
+		page.upstream = nil
+		pages.byNumber[number] = page
 	}
+}
+
+// complete reports whether all pages of a job's list are known. It is false if pages are
+// missing or were written by an earlier attempt to submit the job.
+func (i *upstreamPageIndex) complete(job *Job) bool {
 	pages := i.byJob[job.ID]
 	if pages == nil {
-		return nil, false
+		return false
 	}
 	for number := range job.UpstreamPages {
 		page, ok := pages.byNumber[number]
 		if !ok || !page.belongsTo(job, number) {
-			return nil, false
+			return false
 		}
-		list = append(list, page.ids...)
 	}
-	return list, true
+	return true
 }
 
-// handleUpstreamPage handles a change of a page in the watch cache.
+// takeLists returns the upstream jobs in the pages of a job whose list is complete, and removes
+// them from the pages, as the job keeps them from then on.
+func (i *upstreamPageIndex) takeLists(job *Job) []vertexIndex {
+	pages := i.byJob[job.ID]
+	lists := make([][]vertexIndex, job.UpstreamPages)
+	for number := range lists {
+		page := pages.byNumber[number]
+		lists[number] = page.upstream
+		page.upstream = nil
+		pages.byNumber[number] = page
+	}
+	return slices.Concat(lists...)
+}
+
+// handleUpstreamPage handles a change of a page in the watch cache. A job that is linked is not
+// affected any more.
 func (t *Table) handleUpstreamPage(id string, number int, data []byte, modRevision uint64) error {
+	t.graph.release(t.pages.upstream(id, number))
 	if data == nil {
 		t.pages.remove(id, number)
 		return nil
 	}
 	ids, err := record.DecodeUpstreamPage(data)
-	if err != nil {
-		ids = nil // a corrupted page is recorded too, so that it is deleted with the others
+	if err != nil || !t.awaitsPages(id) {
+		ids = nil // the page is recorded too, so that it is deleted with the others
 	}
-	t.pages.set(id, number, upstreamPage{modRevision, ids}, t.now)
+	t.pages.set(id, number, upstreamPage{modRevision, t.graph.acquire(ids)}, t.now)
 	if job := t.byID[id]; job != nil {
 		t.linkIfComplete(job)
 	}
 	return err
 }
 
+// awaitsPages reports whether the pages of a job are needed to link it, or may be once its
+// record is seen.
+func (t *Table) awaitsPages(id string) bool {
+	if t.Terminal.Has(id) {
+		return false
+	}
+	job := t.byID[id]
+	return job == nil || (!job.Ready && !job.linked)
+}
+
 // belongsTo reports whether a page was written by the attempt that submitted the job rather
 // than by an earlier one.
 func (p *upstreamPage) belongsTo(job *Job, number int) bool {
