Answer 503 before accepted jobs take too much memory

Assignments of jobs of up to 100,000 tasks had no bound either.

A table estimates its memory from the numbers of jobs, segments, assignments, edges, pages, names and terminal records. All controllers keep the same records and arrive at the same estimate, also after a restart. A new job gets 503 with Retry-After if unfinished jobs would take more than 0.4 of ram_mb, lists of upstream jobs more than 0.2, or all jobs that ever ended with them more than 0.55. Repeats, polls and cancellations are answered as before.

Evidence: TestEstimatedBytes finds the estimates between the memory in use and twice that. TestAdmissionByLists and TestAdmissionByJobs fail without the check, as every submission is accepted.

--- /dev/null
+++ b/internal/api/admission_test.go
@@ -0,0 +1,84 @@
+package api
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"lugward/internal/pipeline"
+	"lugward/internal/record"
+)
+
+// upstreamField returns the submission field that names the first jobs.
+func upstreamField(count int) string {
+	ids := make([]string, count)
+	for i := range ids {
+		ids[i] = fmt.Sprintf(`"req-%d"`, i+1)
+	}
+	return `,"awaits":[` + strings.Join(ids, ",") + `]`
+}
+
+// TestAdmissionByLists guards against the fault of review case 5: jobs with long lists were
+// accepted until no controller had the memory for them. They get 503 before that, while jobs
+// without lists are accepted, and accepted jobs are answered for.
+func TestAdmissionByLists(t *testing.T) {
+	const upstreamJobs, first = 300, 1001
+	n := newController(t, newFakeStore(t), "n0")
+	n.createUpstreamJobs(1, upstreamJobs)
+	n.server.cfg.MemoryBytes = 4 << 20
+	limits := newMemoryLimits(n.server.cfg.MemoryBytes)
+	list := upstreamField(upstreamJobs)
+	id := first
+	for ; ; id++ {
+		reply := n.submit(id, list)
+		if reply.Status == 503 {
+			n.expect("job beyond the memory", reply, 503, "")
+			break
+		}
+		n.expect("job with a list", reply, 201, "queued")
+		if bytes := n.jobs.EstimatedUpstreamBytes(); bytes > limits.upstreamLists {
+			t.Fatalf("lists take %d bytes after %d jobs, want at most %d", bytes, id-first+1, limits.upstreamLists)
+		}
+	}
+	if accepted := id - first; accepted < 10 {
+		t.Errorf("%d jobs with lists were accepted, want at least 10", accepted)
+	}
+	n.expect("job without a list", n.submit(9001, ""), 201, "queued")
+	n.expect("repeat of an accepted job", n.submit(first, list), 200, "queued")
+	n.expect("poll of an accepted job", n.poll(first), 200, "queued")
+	n.expect("poll of the refused job", n.poll(id), 404, "")
+	for cancelled := first; cancelled < id-1; cancelled++ {
+		n.expect("cancellation", n.cancel(cancelled), 200, "cancelled")
+	}
+	n.expect("the same job again", n.submit(id, list), 201, "queued")
+}
+
+// TestAdmissionByJobs checks that unfinished jobs, or all jobs that have ever ended, leave
+// memory to the controller, and that accepted jobs are answered for.
+func TestAdmissionByJobs(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		store func(n *testController, id string)
+	}{
+		{"unfinished", func(n *testController, id string) {
+			names := n.jobs.Names
+			job := &pipeline.Job{ID: id, Ready: true, Spec: pipeline.Spec{TaskCount: 1, Class: names.Classes.Index("c"), Team: names.Teams.Index("red"), Image: names.Images.Index("b"), Zone: pipeline.AnyZone}}
+			n.jobs.HandleChange(record.KindJob, id, pipeline.EncodeJob(names, job), 1)
+		}},
+		{"ended", func(n *testController, id string) {
+			n.jobs.HandleChange(record.KindTerminal, id, terminalRecord(pipeline.Done), 1)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newController(t, newFakeStore(t), "n0")
+			n.server.cfg.MemoryBytes = 1 << 20
+			n.expect("first job", n.submit(1, ""), 201, "queued")
+			for i := range 20_000 {
+				c.store(n, fmt.Sprintf("req-%d", 1000+i))
+			}
+			n.expect("job beyond the memory", n.submit(2, ""), 503, "")
+			n.expect("repeat of an accepted job", n.submit(1, ""), 200, "queued")
+			n.expect("poll of an accepted job", n.poll(1), 200, "queued")
+		})
+	}
+}
--- a/internal/api/paged_submission.go
+++ b/internal/api/paged_submission.go
@@ -36,6 +36,7 @@
 	replied bool
 
 	pages             [][]byte
+	estimatedBytes    int // memory of the pages until the attempt ends
 	firstPageRevision uint64
 	nextPage          int // index of the next page to write
 	// writesInFlight is the number of writes without a result yet. It does not count
@@ -57,6 +58,9 @@
 		return
 	}
 	p := &pagedSubmission{job: j, conn: conn, startedAt: now, pages: pages, nextPage: 1}
+	for _, page := range pages {
+		p.estimatedBytes += len(page)
+	}
 	s.pagedSubmissions[j.ID] = p
 	s.submitWrite(now, p, kv.Write{Key: p.firstPageKey(), Data: pages[0]}, revision, func(r kv.Result) {
 		s.handleFirstPageResult(p, r)
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -105,6 +105,14 @@
 		replyError(conn, err, out)
 		return
 	}
+	heldFor := len(upstream)
+	if j.Ready {
+		heldFor = 0
+	}
+	if err := s.admit(heldFor, len(pages)); err != nil {
+		replyError(conn, err, out)
+		return
+	}
 	if delay := s.store.QueueDelay(kv.PrioritySubmission); delay.SecondsAtTotalRate > s.cfg.RequestTimeout.Seconds() {
 		// The write would stay in the queue until the request has timed out.
 		// Rejecting it now leaves the write rate to the writes already queued.
--- a/internal/controller/stats_log.go
+++ b/internal/controller/stats_log.go
@@ -90,5 +90,6 @@
 		"gpus_free", machines.freeGPUs,
 		"rounds_interrupted", c.scheduler.ConsumeInterruptedRounds(),
 		"run_records_compact", c.jobs.CompactCount(),
+		"accepted_work_kb", c.jobs.EstimatedBytes()/bytesPerKB,
 		"writes_per_second", int(stateDemand.Writes))
 }
--- a/internal/intern/intern.go
+++ b/internal/intern/intern.go
@@ -11,8 +11,15 @@
 	indexByName map[string]Index
 	names       []string // by index; empty if the index is free
 	free        []Index  // stack of free indices
+	nameBytes   int      // total length of the names
 }
 
+// bytesPerName is the estimated memory of a name in addition to its length.
+const bytesPerName = 80
+
+// EstimatedBytes returns the estimated memory of the table.
+func (t *Table[Index]) EstimatedBytes() int { return t.nameBytes + bytesPerName*len(t.names) }
+
 // Index returns the index of a name, adding the name if it is new.
 func (t *Table[Index]) Index(name string) Index {
 	if i, ok := t.indexByName[name]; ok {
@@ -24,6 +31,7 @@
 	i := t.newIndex()
 	t.indexByName[name] = i
 	t.names[i] = name
+	t.nameBytes += len(name)
 	return i
 }
 
@@ -42,6 +50,7 @@
 // ensure that nothing refers to the index.
 func (t *Table[Index]) Release(i Index) {
 	delete(t.indexByName, t.names[i])
+	t.nameBytes -= len(t.names[i])
 	t.names[i] = ""
 	t.free = append(t.free, i)
 }
--- a/internal/pipeline/memory_test.go
+++ b/internal/pipeline/memory_test.go
@@ -68,6 +68,58 @@
 	runtime.KeepAlive(f)
 }
 
+// TestEstimatedBytes checks the estimates by which submissions are admitted: the estimated
+// memory is at least what is in use, and at most twice as much.
+func TestEstimatedBytes(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	for _, c := range []struct {
+		name string
+		fill func(f *fixture)
+	}{
+		{"lists", func(f *fixture) { f.storeLongLists(random, longListIDs(random, 6000), 200, 4500) }},
+		{"short lists", func(f *fixture) { f.storeLongLists(random, longListIDs(random, 6000), 5000, 20) }},
+		{"jobs", func(f *fixture) { f.storeLongLists(random, longListIDs(random, 20_000), 0, 0) }},
+		{"assignments", func(f *fixture) { f.storeAssignedJobs(50, 1000) }},
+		{"assigned jobs", func(f *fixture) { f.storeAssignedJobs(20_000, 1) }},
+		{"terminal records", func(f *fixture) {
+			for _, id := range longListIDs(random, 300_000) {
+				f.HandleChange(record.KindTerminal, id, EncodeTerminal(Done, &Job{Spec: Spec{TaskCount: 1}}), 1)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			before := heapBytes()
+			f := newFixture()
+			c.fill(f)
+			used, estimate := heapBytes()-before, float64(f.EstimatedBytes())
+			t.Logf("%.2f MB in use, estimated %.2f MB", used/1e6, estimate/1e6)
+			if estimate < used || estimate > 2*used {
+				t.Errorf("estimated %.2f MB, want at least the %.2f MB in use and at most twice that", estimate/1e6, used/1e6)
+			}
+			runtime.KeepAlive(f)
+		})
+	}
+}
+
+// storeAssignedJobs stores jobs whose tasks are all assigned, on machines of 20 tasks each.
+func (f *fixture) storeAssignedJobs(jobs, tasks int) {
+	spec := Spec{TaskCount: tasks, CPUs: 1, Memory: 1, Zone: AnyZone}
+	nameSpec(f.Names, &spec)
+	assigned := 0
+	for i := range jobs {
+		id := fmt.Sprintf("req-%09d", i)
+		f.HandleChange(record.KindJob, id, EncodeJob(f.Names, &Job{ID: id, Spec: spec, Ready: true}), 1)
+		for first := 0; first < tasks; first += f.segmentLen {
+			run := record.Run{MaxAttempt: 1}
+			for task := first; task < min(tasks, first+f.segmentLen); task++ {
+				run.Active = append(run.Active, record.Assignment{Task: task, Attempt: 1, Machine: fmt.Sprintf("i-%06d", assigned/20)})
+				assigned++
+			}
+			f.HandleChange(record.KindRun, fmt.Sprintf("%s/%d", id, first/f.segmentLen), run.Encode(), 2)
+		}
+	}
+}
+
 // TestEdges checks the lists of dependents against sets, while jobs are linked and unlinked.
 func TestEdges(t *testing.T) {
 	random := rand.New(rand.NewPCG(2, 2))
--- a/internal/pipeline/names.go
+++ b/internal/pipeline/names.go
@@ -30,3 +30,13 @@
 	Zones        intern.Table[ZoneIndex]
 	Machines     intern.Table[MachineIndex]
 }
+
+// EstimatedBytes returns the estimated memory of the tables.
+func (n *Names) EstimatedBytes() int {
+	return n.Classes.EstimatedBytes() +
+		n.Teams.EstimatedBytes() +
+		n.Images.EstimatedBytes() +
+		n.MachineTypes.EstimatedBytes() +
+		n.Zones.EstimatedBytes() +
+		n.Machines.EstimatedBytes()
+}
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -16,6 +16,8 @@
 	ValueLimit int
 	// TxnOps is the state service's limit on the number of writes per transaction.
 	TxnOps int
+	// AssignmentBytes is the memory that assignments may take. Zero means no limit.
+	AssignmentBytes int
 	// ControllerLabels are the labels of all controllers.
 	ControllerLabels []string
 	// OnDecodeError, if set, is called for each persisted record that cannot be decoded
@@ -38,6 +40,9 @@
 	pages   upstreamPageIndex
 	retries retryRecords
 
+	segmentCount    int // segments of all jobs
+	assignmentCount int // assignments of all jobs
+
 	usageByTeam    map[TeamIndex]Usage // by team, the resources of its assignments
 	endedWithTasks map[*Job]bool       // jobs with a terminal record whose tasks may still be on machines
 
@@ -154,6 +159,7 @@
 	delete(t.retries.unsaved, job)
 	delete(t.endedWithTasks, job)
 	delete(t.graph.stale, job)
+	t.segmentCount -= len(job.segments)
 	t.remove(job)
 }
 
--- a/internal/pipeline/upstream_pages.go
+++ b/internal/pipeline/upstream_pages.go
@@ -37,6 +37,7 @@
 // upstreamPageIndex holds the persisted lists of upstream jobs.
 type upstreamPageIndex struct {
 	byJob             map[string]*upstreamPages // by job ID
+	count             int                       // number of pages
 	deletionsInFlight int
 }
 
@@ -50,7 +51,9 @@
 	if number == 0 {
 		pages.attemptBeganAt = now
 	}
+	i.count -= len(pages.byNumber)
 	pages.byNumber[number] = page
+	i.count += len(pages.byNumber)
 }
 
 // upstream returns the upstream jobs in a page of a job's list, nil if there is no such page.
@@ -67,7 +70,9 @@
 	if pages == nil {
 		return
 	}
+	i.count -= len(pages.byNumber)
 	delete(pages.byNumber, number)
+	i.count += len(pages.byNumber)
 	if len(pages.byNumber) == 0 {
 		delete(i.byJob, id)
 	}
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -35,12 +35,20 @@
 }
 
 func newCluster(tb testing.TB) *cluster {
+	tb.Helper()
+	return newClusterWith(tb, pipeline.Config{})
+}
+
+// newClusterWith is like newCluster with a configuration of the table of jobs, of which it sets
+// the names and the limits of the state service.
+func newClusterWith(tb testing.TB, config pipeline.Config) *cluster {
 	tb.Helper()
 	names := &pipeline.Names{}
 	names.Classes.Index("c")
 	names.Teams.Index("t")
 	names.Images.Index("b")
-	jobs := pipeline.NewTable(pipeline.Config{Names: names, LayoutValueBytes: 4096, TxnOps: 12})
+	config.Names, config.LayoutValueBytes, config.TxnOps = names, 4096, 12
+	jobs := pipeline.NewTable(config)
 	workers := worker.New(worker.Config{
 		Names:  names,
 		Jobs:   jobs,
--- a/internal/scheduler/large_job_test.go
+++ b/internal/scheduler/large_job_test.go
@@ -137,3 +137,16 @@
 		})
 	}
 }
+
+// TestAssignmentsLeaveMemory checks that a round assigns no more tasks than the memory for
+// assignments allows, and neither preempts nor plans machines for the others.
+func TestAssignmentsLeaveMemory(t *testing.T) {
+	s := newClusterWith(t, pipeline.Config{AssignmentBytes: 10 * pipeline.EstimatedAssignmentBytes})
+	low := s.addLargeJob("req-1", 8, func(j *pipeline.Job) { j.Priority = pipeline.Idle })
+	s.runRound()
+	high := s.addLargeJob("req-2", 8, func(j *pipeline.Job) { j.Priority = pipeline.High })
+	s.runRound()
+	if low.ActiveCount() != 8 || high.ActiveCount() != 2 || s.AssignmentsLeft() != 0 {
+		t.Errorf("%d and %d tasks are placed, %d are left; want 8, 2 and 0", low.ActiveCount(), high.ActiveCount(), s.AssignmentsLeft())
+	}
+}
