Assign no more tasks to a machine than its worker can report

The protocol allows 64 KiB for either, and the controllers refuse longer bodies, so the lease expires and the tasks begin again. The cost of each heartbeat and round would also grow with the machine's tasks.

A machine now gets at most 500 tasks, whose longest statuses fit in 64 KiB. Planned machines count with the same limit.

--- a/internal/autoscaler/machine_types.go
+++ b/internal/autoscaler/machine_types.go
@@ -48,14 +48,10 @@
 	if machineType == nil {
 		return nil
 	}
-	return &scheduler.Capacity{
-		MachineType: machineType,
-		Zone:        pool.zone,
-		Spot:        pool.spot,
-		FreeCPUs:    machineType.CPUs,
-		FreeGPUs:    machineType.GPUs,
-		FreeMemory:  machineType.Memory,
-	}
+	capacity := scheduler.NewCapacity(machineType)
+	capacity.Zone = pool.zone
+	capacity.Spot = pool.spot
+	return &capacity
 }
 
 // price returns the hourly price of a machine of a pool. The machine type must be
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"math"
-
 	"lugward/internal/event"
 	"lugward/internal/pipeline"
 	"lugward/internal/worker"
@@ -20,9 +18,10 @@
 	FreeCPUs    float64
 	FreeGPUs    float64
 	FreeMemory  float64 // GB
+	FreeTasks   int     // number of tasks that the worker's messages leave room for
 	InUse       bool    // tasks are assigned to the machine or capacity is allocated
 
-	evicting          pipeline.Usage    // resources of the tasks of the machine that are being evicted
+	evicting          taskResources     // resources of the tasks of the machine that are being evicted
 	releases          []expectedRelease // expected releases by the machine's tasks, earliest first
 	releasesListed    bool              // expectedReleases has filled in releases
 	assignmentChanges uint32            // change count of the machine's assignments when this was computed
@@ -30,9 +29,9 @@
 
 // FittingTasks returns how many tasks with the given spec fit into the free capacity.
 func (c *Capacity) FittingTasks(spec *pipeline.Spec) int {
-	count := math.MaxInt32
+	count := c.FreeTasks
 	if spec.CPUs > 0 {
-		count = int((c.FreeCPUs + tolerance) / spec.CPUs)
+		count = min(count, int((c.FreeCPUs+tolerance)/spec.CPUs))
 	}
 	if spec.GPUs > 0 {
 		count = min(count, int((c.FreeGPUs+tolerance)/spec.GPUs))
@@ -74,22 +73,48 @@
 	c.FreeCPUs -= tasks * spec.CPUs
 	c.FreeGPUs -= tasks * spec.GPUs
 	c.FreeMemory -= tasks * spec.Memory
+	c.FreeTasks -= count
 	c.InUse = true
 }
 
 // release adds the resources of one task to the free capacity.
-func (c *Capacity) release(spec *pipeline.Spec) { c.releaseUsage(usageOf(spec)) }
+func (c *Capacity) release(spec *pipeline.Spec) {
+	var freed taskResources
+	freed.add(spec)
+	c.releaseAll(freed)
+}
 
-// releaseUsage adds resources to the free capacity.
-func (c *Capacity) releaseUsage(usage pipeline.Usage) {
-	c.FreeCPUs += usage.CPUs
-	c.FreeGPUs += usage.GPUs
-	c.FreeMemory += usage.Memory
+// releaseAll adds the resources of a number of tasks to the free capacity.
+func (c *Capacity) releaseAll(freed taskResources) {
+	c.FreeCPUs += freed.cpus
+	c.FreeGPUs += freed.gpus
+	c.FreeMemory += freed.memory
+	c.FreeTasks += freed.tasks
 }
 
-// usageOf returns the resources of one task.
-func usageOf(spec *pipeline.Spec) pipeline.Usage {
-	return pipeline.Usage{CPUs: spec.CPUs, GPUs: spec.GPUs, Memory: spec.Memory}
+// taskResources are the resources of a number of tasks.
+type taskResources struct {
+	cpus, gpus, memory float64
+	tasks              int
+}
+
+// add adds the resources of one task.
+func (t *taskResources) add(spec *pipeline.Spec) {
+	t.cpus += spec.CPUs
+	t.gpus += spec.GPUs
+	t.memory += spec.Memory
+	t.tasks++
+}
+
+// NewCapacity returns the capacity of an empty machine.
+func NewCapacity(machineType *MachineType) Capacity {
+	return Capacity{
+		MachineType: machineType,
+		FreeCPUs:    machineType.CPUs,
+		FreeGPUs:    machineType.GPUs,
+		FreeMemory:  machineType.Memory,
+		FreeTasks:   worker.MaxTasksPerMachine,
+	}
 }
 
 // hourlyPrice returns the hourly price of the machine.
@@ -120,16 +145,14 @@
 
 // computeCapacity returns the capacity of a machine less the resources of its tasks.
 func (s *Scheduler) computeCapacity(machine *worker.Machine, machineType *MachineType) Capacity {
-	capacity := Capacity{
-		Machine:     machine,
-		MachineType: machineType,
-		FreeCPUs:    machineType.CPUs,
-		FreeGPUs:    machineType.GPUs,
-		FreeMemory:  machineType.Memory,
-	}
+	capacity := NewCapacity(machineType)
+	capacity.Machine = machine
 	for task := range s.jobs.AssignmentsOn(machine.Index) {
 		if task.Phase() == pipeline.TaskExited {
-			continue // an exited task uses no resources; only its record is not updated yet
+			// An exited task uses no resources; only its record is not updated yet. The
+			// worker lists it until then.
+			capacity.FreeTasks--
+			continue
 		}
 		capacity.Allocate(&task.Job.Spec, 1)
 		if task.Evicting() {
--- a/internal/scheduler/expected_release.go
+++ b/internal/scheduler/expected_release.go
@@ -18,8 +18,8 @@
 // expectedRelease is the time at which a task is expected to free its resources.
 type expectedRelease struct {
 	task  *pipeline.Assignment
-	after float64        // seconds from now
-	freed pipeline.Usage // resources of this and all earlier releases, if computed by expectedReleases
+	after float64       // seconds from now
+	freed taskResources // resources of this and all earlier releases, if computed by expectedReleases
 }
 
 // sortReleases sorts releases by time, earliest first.
@@ -99,11 +99,10 @@
 		capacity.releases = append(capacity.releases, expectedRelease{task: task, after: after})
 	}
 	sortReleases(capacity.releases)
-	var freed pipeline.Usage
+	var freed taskResources
 	for i := range capacity.releases {
 		release := &capacity.releases[i]
-		freed.Add(&release.task.Job.Spec, 1)
-		freed.Memory += release.task.Job.Memory
+		freed.add(&release.task.Job.Spec)
 		release.freed = freed
 	}
 	return capacity.releases
@@ -118,7 +117,7 @@
 	releases := s.expectedReleases(capacity, now)
 	first := sort.Search(len(releases), func(i int) bool {
 		free := *capacity
-		free.releaseUsage(releases[i].freed)
+		free.releaseAll(releases[i].freed)
 		return free.FittingTasks(&job.Spec) > 0
 	})
 	if first == len(releases) {
--- a/internal/scheduler/large_job_test.go
+++ b/internal/scheduler/large_job_test.go
@@ -3,14 +3,27 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"lugward/internal/pipeline"
+	"lugward/internal/worker"
 )
 
 // exhausted is a budget that is used up at once.
 func exhausted() bool { return true }
 
+// newLargeCluster returns a cluster whose machines have room for a number of small tasks.
+func newLargeCluster(tb testing.TB, tasks int) *cluster {
+	tb.Helper()
+	s := newCluster(tb)
+	for i := 1; i*worker.MaxTasksPerMachine < tasks; i++ {
+		s.heartbeat(fmt.Sprintf("i-%d", i+1))
+	}
+	return s
+}
+
+// fillLargeCluster lets the tasks of a job fill the machines of a large cluster.
+func fillLargeCluster(j *pipeline.Job) { j.CPUs, j.Memory = 8.0/worker.MaxTasksPerMachine, 0 }
+
 // addLargeJob adds a job of many small tasks that all fit on the machines of the cluster.
 func (s *cluster) addLargeJob(id string, tasks int, modify func(*pipeline.Job)) *pipeline.Job {
 	return s.addJob(id, func(j *pipeline.Job) {
@@ -28,7 +41,7 @@
 	const tasks, later = 3000, "req-2"
 	for _, shape := range []pipeline.Shape{pipeline.Array, pipeline.Gang} {
 		t.Run(fmt.Sprint("shape ", shape), func(t *testing.T) {
-			s := newCluster(t)
+			s := newLargeCluster(t, tasks+1)
 			job := s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { j.Shape = shape })
 			other := s.addLargeJob(later, 1, nil)
 			for round := 1; job.ActiveCount() < tasks; round++ {
@@ -57,17 +70,16 @@
 }
 
 // preemptLargeJob lets a job of high priority preempt a job of low priority with as many
-// tasks, which fill the machine. It returns the number of tasks that were examined.
+// tasks, which fill the machines. It returns the number of tasks that were examined.
 func preemptLargeJob(t *testing.T, tasks int, budget Budget) (s *cluster, low *pipeline.Job, examined int) {
 	t.Helper()
-	s = newCluster(t)
-	fill := func(j *pipeline.Job) { j.CPUs, j.Memory = 8/float64(tasks), 0 }
-	low = s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { fill(j); j.Priority = pipeline.Idle })
+	s = newLargeCluster(t, tasks)
+	low = s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { fillLargeCluster(j); j.Priority = pipeline.Idle })
 	s.runRound()
 	if low.ActiveCount() != tasks {
 		t.Fatalf("%d of %d tasks were placed", low.ActiveCount(), tasks)
 	}
-	s.addLargeJob("req-2", tasks, func(j *pipeline.Job) { fill(j); j.Priority = pipeline.High })
+	s.addLargeJob("req-2", tasks, func(j *pipeline.Job) { fillLargeCluster(j); j.Priority = pipeline.High })
 	before := s.counters.victimsExamined
 	s.Round(s.now, budget)
 	return s, low, s.counters.victimsExamined - before
@@ -114,8 +126,8 @@
 		b.Run(fmt.Sprintf("placement/tasks=%d", tasks), func(b *testing.B) {
 			for range b.N {
 				b.StopTimer()
-				s := newCluster(b)
-				s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { j.CPUs, j.Memory = 8/float64(tasks), 0 })
+				s := newLargeCluster(b, tasks)
+				s.addLargeJob("req-1", tasks, fillLargeCluster)
 				b.StartTimer()
 				s.runRound()
 			}
@@ -124,12 +136,10 @@
 		b.Run(fmt.Sprintf("preemption/tasks=%d", tasks), func(b *testing.B) {
 			for range b.N {
 				b.StopTimer()
-				s := newCluster(b)
-				fill := func(j *pipeline.Job) { j.CPUs, j.Memory = 8/float64(tasks), 0 }
-				s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { fill(j); j.Priority = pipeline.Idle })
+				s := newLargeCluster(b, tasks)
+				s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { fillLargeCluster(j); j.Priority = pipeline.Idle })
 				s.runRound()
-				s.now += time.Second
-				s.addLargeJob("req-2", tasks, func(j *pipeline.Job) { fill(j); j.Priority = pipeline.High })
+				s.addLargeJob("req-2", tasks, func(j *pipeline.Job) { fillLargeCluster(j); j.Priority = pipeline.High })
 				b.StartTimer()
 				s.runRound()
 			}
@@ -150,3 +160,15 @@
 		t.Errorf("%d and %d tasks are placed, %d are left; want 8, 2 and 0", low.ActiveCount(), high.ActiveCount(), s.AssignmentsLeft())
 	}
 }
+
+// TestMachineTakesTasksOfOneHeartbeat checks that a machine gets no more tasks than its worker
+// can list in a heartbeat, and that the next one takes the others.
+func TestMachineTakesTasksOfOneHeartbeat(t *testing.T) {
+	s := newLargeCluster(t, 2*worker.MaxTasksPerMachine)
+	s.addLargeJob("req-1", worker.MaxTasksPerMachine+1, nil)
+	s.runRound()
+	first, second := s.jobs.AssignmentCount(0), s.jobs.AssignmentCount(1)
+	if max(first, second) != worker.MaxTasksPerMachine || min(first, second) != 1 {
+		t.Errorf("the machines got %d and %d tasks, want MaxTasksPerMachine and 1", first, second)
+	}
+}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -23,7 +23,7 @@
 		return 0, true // a gang is placed as a whole or not at all
 	}
 	attempt := nextAttempt(job)
-	costOf := r.preemptionCostFunc(job)
+	costOf := r.preemptionCostFunc(job, remaining > maxTasksPerStep)
 	for remaining > 0 && r.mayPreemptAny(job) {
 		count := remaining
 		if job.Shape != pipeline.Gang {
@@ -76,8 +76,8 @@
 
 // preemptionCostFunc returns a cost function for slots: the eviction cost of the victims
 // plus the weighted time to fetch the job's image. It may be used for several searches.
-func (r *round) preemptionCostFunc(job *pipeline.Job) slotCostFunc {
-	search := victimSearch{round: r, job: job, queues: map[pipeline.MachineIndex][]victimCandidate{}}
+func (r *round) preemptionCostFunc(job *pipeline.Job, severalSteps bool) slotCostFunc {
+	search := victimSearch{round: r, job: job, queues: map[pipeline.MachineIndex][]victimCandidate{}, severalSteps: severalSteps}
 	return func(free *Capacity, claimed victimSet) (slotCost, bool) {
 		afterEvictions := free.afterEvictions()
 		fetch := imageFetchWeight * free.fetchTime(job)
@@ -116,16 +116,14 @@
 
 // recordEviction records that a task of the machine is being evicted.
 func (c *Capacity) recordEviction(task *pipeline.Assignment) {
-	c.evicting.CPUs += task.Job.CPUs
-	c.evicting.GPUs += task.Job.GPUs
-	c.evicting.Memory += task.Job.Memory
+	c.evicting.add(&task.Job.Spec)
 }
 
 // afterEvictions returns the capacity as it will be once the tasks that are being evicted
 // have terminated.
 func (c *Capacity) afterEvictions() Capacity {
 	free := *c
-	free.releaseUsage(c.evicting)
+	free.releaseAll(c.evicting)
 	return free
 }
 
--- a/internal/scheduler/preemption_victims.go
+++ b/internal/scheduler/preemption_victims.go
@@ -39,10 +39,13 @@
 type victimSearch struct {
 	*round
 	job *pipeline.Job
-	// queues holds the candidates of machines from which victims have been claimed,
-	// cheapest first, without those at the head that are claimed or evicted since. Sorting
+	// queues holds the candidates of machines, at least of those from which victims have
+	// been claimed, cheapest first, without those at the head that are claimed or evicted since. Sorting
 	// them again for each slot would cost the square of a machine's tasks.
 	queues map[pipeline.MachineIndex][]victimCandidate
+	// severalSteps means that more slots will be searched than in one step, so that the
+	// candidates of all machines are kept.
+	severalSteps bool
 }
 
 // cheapestVictims finds tasks to preempt on a machine, cheapest first, until a task of
@@ -70,7 +73,7 @@
 func (s *victimSearch) candidates(machine pipeline.MachineIndex, claimed victimSet) []victimCandidate {
 	queue, ok := s.queues[machine]
 	switch {
-	case !ok && len(claimed) == 0:
+	case !ok && len(claimed) == 0 && !s.severalSteps:
 		s.scratch.victims = s.appendCandidates(s.scratch.victims[:0], machine, claimed)
 		return s.scratch.victims
 	case !ok:
--- a/internal/simtest/checker_capacity.go
+++ b/internal/simtest/checker_capacity.go
@@ -76,13 +76,18 @@
 // is freed and assigned again within that time shows that the queue makes progress.
 const capacityWindow = 5 * time.Second
 
+// maxReportedTasks is the number of tasks whose statuses fit in a heartbeat, whose body may have
+// at most 64 KiB. A machine with so many tasks has no capacity for another one.
+const maxReportedTasks = 500
+
 // freeCapacities returns the capacity that has been free throughout capacityWindow on each
 // healthy machine that all controllers can reach.
 func (checker *Checker) freeCapacities() []freeCapacity {
 	const samples = int(capacityWindow / invariantCheckInterval)
 	var list []freeCapacity
 	for _, worker := range checker.world.sortedWorkers() {
-		if !worker.isHealthy() || checker.world.network.isUnreachable(worker) {
+		full := len(worker.assignments) >= maxReportedTasks
+		if !worker.isHealthy() || full || checker.world.network.isUnreachable(worker) {
 			delete(checker.recentFree, worker)
 			continue
 		}
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -31,6 +31,9 @@
 	mayStart       bool                          // whether tasks may be started now
 	listed         map[*pipeline.Assignment]bool // assignments that the heartbeat lists
 
+	// bytesLeft is the size of the commands that still fit in the response. Commands that do
+	// not fit follow in later responses, as their causes remain.
+	bytesLeft    int
 	reaps        []Command
 	terminations []Command
 	starts       []Command
@@ -42,6 +45,13 @@
 	return append(append(r.reaps, r.terminations...), r.starts...)
 }
 
+// limitToMessage drops the commands for listed tasks that do not fit in the response.
+// Terminations take precedence, since users wait for the end of cancelled jobs.
+func (r *response) limitToMessage() {
+	r.terminations, r.bytesLeft = limitCommands(r.terminations, maxCommandsBytes)
+	r.reaps, r.bytesLeft = limitCommands(r.reaps, r.bytesLeft)
+}
+
 // Commands returns the commands for the response to a heartbeat that HandleHeartbeat has
 // accepted, according to the current state of the assignments.
 func (r *Registry) Commands(heartbeat *Heartbeat, now event.Time, leadership Leadership) []Command {
@@ -56,6 +66,7 @@
 	for i := range heartbeat.Tasks {
 		r.respondToTask(response, r.resolveTask(response.machine, &heartbeat.Tasks[i]))
 	}
+	response.limitToMessage()
 	for _, assignment := range r.sortedAssignments(response.machine) {
 		if !response.listed[assignment] && assignment.FullyPersisted() {
 			r.respondToUnlisted(response, assignment)
@@ -124,7 +135,13 @@
 // addStart adds the command to start the task of an assignment. A task that an earlier
 // heartbeat listed was lost with the previous incarnation of the worker.
 func (r *response) addStart(assignment *pipeline.Assignment) {
-	r.starts = append(r.starts, startCommand(assignment))
+	command := startCommand(assignment)
+	size := command.encodedBytes()
+	if size > r.bytesLeft {
+		return
+	}
+	r.bytesLeft -= size
+	r.starts = append(r.starts, command)
 	assignment.RecordStartCommand(r.heartbeat.Sequence)
 	r.machine.images[assignment.Job.Image] = true
 }
--- a/internal/worker/termination.go
+++ b/internal/worker/termination.go
@@ -69,6 +69,7 @@
 		return more
 	}
 	slices.SortFunc(commands, func(a, b Command) int { return cmp.Compare(a.Task, b.Task) })
+	commands, _ = limitCommands(commands, maxCommandsBytes) // the others follow after terminationInterval
 	machine.lastTerminations = now
 	r.sendCommand(machine, directCommand{leadership.FencingToken(), machine.incarnation, commands}, directCall{}, out)
 	return more
