Keep memory for assignments whatever else is accepted

Jobs could fill their share of the memory before any task was assigned, and assignments could then add their whole share, 0.7 of the memory together. Assignments now get what other work leaves, up to 0.3 of the memory and at least 0.15, so that accepted jobs run and free memory. All shares are in one place, Table.CheckMemory and Table.AssignmentsLeft.

--- a/internal/api/paged_submission.go
+++ b/internal/api/paged_submission.go
@@ -36,7 +36,7 @@
 	replied bool
 
 	pages             [][]byte
-	estimatedBytes    int // memory of the pages until the attempt ends
+	pageBytes         int // total size of pages
 	firstPageRevision uint64
 	nextPage          int // index of the next page to write
 	// writesInFlight is the number of writes without a result yet. It does not count
@@ -59,7 +59,7 @@
 	}
 	p := &pagedSubmission{job: j, conn: conn, startedAt: now, pages: pages, nextPage: 1}
 	for _, page := range pages {
-		p.estimatedBytes += len(page)
+		p.pageBytes += len(page)
 	}
 	s.pagedSubmissions[j.ID] = p
 	s.submitWrite(now, p, kv.Write{Key: p.firstPageKey(), Data: pages[0]}, revision, func(r kv.Result) {
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -29,7 +29,6 @@
 	RequestTimeout time.Duration // after this time an undecided request gets 503
 	ValueBytes     int           // maximum size of a value in the state service
 	TxnOps         int           // maximum number of writes in a transaction
-	MemoryBytes    int           // memory of the controller, 0 for no limit
 
 	Names        *pipeline.Names
 	Jobs         *pipeline.Table
--- a/internal/controller/build.go
+++ b/internal/controller/build.go
@@ -29,10 +29,6 @@
 	heartbeatTimeoutMargin    = time.Second
 
 	bytesPerKB = 1024
-
-	// assignmentShare is the share of the memory that assignments may take. It allows for
-	// 30 tasks on each of 4,000 machines at the smallest memory of a site.
-	assignmentShare = 0.3
 )
 
 // New creates a controller. clock measures the duration of scheduling rounds; if it is
@@ -80,7 +76,7 @@
 		LayoutValueBytes: int(state.ValueKB * bytesPerKB),
 		ValueLimit:       c.maxValueBytes(),
 		TxnOps:           state.Strictest().TxnOps,
-		AssignmentBytes:  int(assignmentShare * float64(c.memoryBytes())),
+		MemoryBytes:      int(c.cfg.Settings.Resources.MemoryMB * bytesPerKB * bytesPerKB),
 		ControllerLabels: sortedLabels(c.cfg),
 		OnDecodeError:    c.logIgnoredRecord,
 	})
@@ -174,7 +170,6 @@
 		RequestTimeout: time.Duration(c.cfg.Operator.API.RequestTimeout),
 		ValueBytes:     c.maxValueBytes(),
 		TxnOps:         c.cfg.Settings.State.Strictest().TxnOps,
-		MemoryBytes:    c.memoryBytes(),
 		Names:          c.names,
 		Jobs:           c.jobs,
 		Store:          c.store,
@@ -182,11 +177,6 @@
 	})
 }
 
-// memoryBytes returns the memory that this controller may use.
-func (c *Controller) memoryBytes() int {
-	return int(c.cfg.Settings.Resources.MemoryMB * bytesPerKB * bytesPerKB)
-}
-
 // maxValueBytes returns the maximum size of a value that this controller writes to the
 // state service.
 func (c *Controller) maxValueBytes() int {
--- a/internal/pipeline/memory.go
+++ b/internal/pipeline/memory.go
@@ -41,20 +41,74 @@
 		bytesPerPage*t.pages.count
 }
 
-// EstimatedJobBytes returns the estimated memory of a new job without its list of upstream jobs.
-func EstimatedJobBytes() int { return bytesPerJob + bytesPerSegment + EstimatedAssignmentBytes }
+// Shares of a controller's memory that the estimated memory of a table may take. The rest is
+// for connections, messages and the garbage of the Go runtime, also while a controller reads
+// all records at its start.
+const (
+	// unfinishedWorkShare is for unfinished jobs and those that ended so recently that their
+	// records are not deleted yet. A new job must leave it.
+	unfinishedWorkShare = 0.4
+	// upstreamListShare is the part of it that lists of upstream jobs may take. Otherwise a
+	// few users with long lists could use up the memory for everybody's jobs.
+	upstreamListShare = 0.2
+	// allWorkShare is for unfinished jobs and all terminal records, which are never deleted.
+	// A new job must leave it.
+	allWorkShare = 0.55
+	// assignmentShare is for assignments, as far as all work leaves it. It allows for about 30
+	// tasks on each of 4,000 machines at the smallest memory of a site.
+	assignmentShare = 0.3
+	// minAssignmentShare is for assignments whatever else there is, so that accepted jobs run
+	// and free memory.
+	minAssignmentShare = 0.15
+)
+
+// memoryShare returns a share of the controller's memory, in bytes.
+func (t *Table) memoryShare(share float64) int { return int(share * float64(t.config.MemoryBytes)) }
 
-// EstimatedListBytes returns the estimated memory of a new list of upstream jobs, which takes
-// the given number of pages.
-func EstimatedListBytes(upstreamJobs, pages int) int {
-	return (bytesPerReference+bytesPerDependent)*upstreamJobs + bytesPerPage*pages
+// ScarceMemory names what new jobs leave no memory for.
+type ScarceMemory string
+
+// The values of ScarceMemory.
+const (
+	EnoughMemory            ScarceMemory = ""
+	ScarceForUpstreamLists  ScarceMemory = "lists of upstream jobs"
+	ScarceForUnfinishedJobs ScarceMemory = "unfinished jobs"
+	ScarceForAllJobs        ScarceMemory = "all jobs"
+)
+
+// NewJob describes the memory of a job that is to be accepted.
+type NewJob struct {
+	UpstreamJobs int // number of upstream jobs that the job waits for
+	Pages        int // number of pages that store their IDs
+	PendingBytes int // memory of submissions in progress
+}
+
+// CheckMemory reports whether there is enough memory to accept a job. All controllers keep all
+// jobs, and their estimates agree but for records that they have not seen yet.
+func (t *Table) CheckMemory(job NewJob) ScarceMemory {
+	if t.config.MemoryBytes == 0 {
+		return EnoughMemory
+	}
+	list := job.PendingBytes + (bytesPerReference+bytesPerDependent)*job.UpstreamJobs + bytesPerPage*job.Pages
+	work := list + bytesPerJob + bytesPerSegment + EstimatedAssignmentBytes
+	switch {
+	case job.UpstreamJobs > 0 && t.EstimatedUpstreamBytes()+list > t.memoryShare(upstreamListShare):
+		return ScarceForUpstreamLists
+	case t.EstimatedUnfinishedBytes()+work > t.memoryShare(unfinishedWorkShare):
+		return ScarceForUnfinishedJobs
+	case t.EstimatedBytes()+work > t.memoryShare(allWorkShare):
+		return ScarceForAllJobs
+	}
+	return EnoughMemory
 }
 
 // AssignmentsLeft returns how many more tasks may be assigned within the memory for
 // assignments.
 func (t *Table) AssignmentsLeft() int {
-	if t.config.AssignmentBytes == 0 {
+	if t.config.MemoryBytes == 0 {
 		return math.MaxInt
 	}
-	return max(0, t.config.AssignmentBytes/EstimatedAssignmentBytes-t.assignmentCount)
+	other := t.EstimatedBytes() - EstimatedAssignmentBytes*t.assignmentCount
+	limit := max(t.memoryShare(minAssignmentShare), min(t.memoryShare(assignmentShare), t.memoryShare(allWorkShare)-other))
+	return max(0, limit/EstimatedAssignmentBytes-t.assignmentCount)
 }
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -16,8 +16,8 @@
 	ValueLimit int
 	// TxnOps is the state service's limit on the number of writes per transaction.
 	TxnOps int
-	// AssignmentBytes is the memory that assignments may take. Zero means no limit.
-	AssignmentBytes int
+	// MemoryBytes is the memory of the controller. Zero means no limit.
+	MemoryBytes int
 	// ControllerLabels are the labels of all controllers.
 	ControllerLabels []string
 	// OnDecodeError, if set, is called for each persisted record that cannot be decoded
