--- a/internal/controller/work_counters.go
+++ b/internal/controller/work_counters.go
@@ -8,6 +8,7 @@
 	BytesUnchanged       int // bytes of worker heartbeats that were compared and found unchanged
 	Rounds               int // scheduling rounds
 	CapacitiesRecomputed int // recomputations of a machine's free capacity
+	JobBytes             int // estimated memory of all jobs
 	MachineIndices       int // machine indices allocated; those of machines that are gone are reused
 }
 
@@ -19,6 +20,7 @@
 		BytesUnchanged:       c.heartbeats.parser.UnchangedBytes,
 		Rounds:               c.leadership.roundCount,
 		CapacitiesRecomputed: c.scheduler.CapacitiesRecomputed(),
+		JobBytes:             c.jobs.EstimatedBytes(),
 		MachineIndices:       c.names.Machines.Len(),
 	}
 }
--- a/internal/simtest/controller.go
+++ b/internal/simtest/controller.go
@@ -64,11 +64,27 @@
 	process.clockError = process.world.drawClockError()
 	process.pendingRequests, process.lastRequest = map[uint64]func(int, []byte){}, 0
 	process.connectedWorkers = map[string]bool{}
-	process.controller = controller.New(&cfg, process.world.log.With("controller", process.name, "incarnation", process.incarnation), nil)
+	process.controller = controller.New(&cfg, process.world.log.With("controller", process.name, "incarnation", process.incarnation), process.roundClock())
 	process.effects = event.Effects{}
 	process.tick(process.incarnation)
 }
 
+// roundClockStep is the time that passes with each reading of a round's clock.
+const roundClockStep = time.Millisecond
+
+// roundClock returns the clock that limits scheduling rounds. It advances with each reading, so
+// that rounds end after a few jobs and steps within jobs. It returns nil if rounds are not limited.
+func (process *controllerProcess) roundClock() func() time.Duration {
+	if !process.world.limitRounds {
+		return nil
+	}
+	var now time.Duration
+	return func() time.Duration {
+		now += roundClockStep
+		return now
+	}
+}
+
 // bootIfDown starts the controller unless it is up.
 func (process *controllerProcess) bootIfDown() {
 	if !process.up {
--- a/internal/simtest/worker_commands.go
+++ b/internal/simtest/worker_commands.go
@@ -19,7 +19,7 @@
 	if path == directCommandPath {
 		var request commandRequest
 		if jsonwire.Unmarshal(body, &request) != nil || request.FencingToken == nil || request.Incarnation == nil {
-			worker.world.reportLimitViolation("worker got an invalid direct command %s", body)
+			worker.world.reportLimitViolation("worker got an invalid direct command %.200s", body)
 			answer(http.StatusBadRequest, nil)
 			return
 		}
--- a/internal/simtest/worker_heartbeat.go
+++ b/internal/simtest/worker_heartbeat.go
@@ -11,6 +11,10 @@
 // heartbeatTimeout is how long a worker waits for the response to a heartbeat.
 const heartbeatTimeout = 4 * time.Second
 
+// maxMessageBytes is the limit of the protocol on the body of a request and on a line of a
+// response to a worker.
+const maxMessageBytes = 64 << 10
+
 // heartbeatDue reports whether a heartbeat is due: after the interval, or early if the status
 // has changed.
 func (worker *fakeWorker) heartbeatDue() bool {
@@ -56,6 +60,9 @@
 	jitter := time.Duration(worker.world.random.Int64N(int64(interval / 2)))
 	worker.nextHeartbeat = worker.world.now + interval*3/4 + jitter
 	body, _ := json.Marshal(worker.buildHeartbeat())
+	if len(body) > maxMessageBytes {
+		worker.world.reportLimitViolation("%s has to report %d tasks in %d bytes", worker.name, len(worker.assignments), len(body))
+	}
 	sent, incarnation := worker.world.now, worker.incarnation
 	if worker.heartbeatsBlocked {
 		// The connection fails after a random time.
@@ -83,6 +90,9 @@
 	if !worker.up {
 		return
 	}
+	if len(body) > maxMessageBytes {
+		worker.world.reportLimitViolation("%s got a response with %d bytes", worker.name, len(body))
+	}
 	if status == 0 {
 		worker.world.checker.unansweredHeartbeats++
 	}
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -52,6 +52,7 @@
 	limitViolations []string      // requests of controllers that violate the limits or the protocol
 	log             *slog.Logger
 	observer        WireObserver // optional
+	limitRounds     bool         // whether scheduling rounds exhaust their budget
 	clocks          *rand.Rand   // draws the errors of the controllers' clocks
 }
 
@@ -73,6 +74,7 @@
 	Log         io.Writer              // destination of the controllers' logs
 	Observer    WireObserver           // optional; gets every message that a controller receives or sends
 	Tune        func(*config.Platform) // optional; changes the parsed settings
+	RoundClock  bool                   // whether scheduling rounds exhaust their budget, see controllerProcess.roundClock
 }
 
 // New returns a world with the given number of controllers and the default settings.
@@ -102,6 +104,7 @@
 		limitsAnnounced: strings.Contains(settings, `"next":`),
 		log:             slog.New(slog.NewTextHandler(options.Log, &slog.HandlerOptions{Level: slog.LevelInfo})),
 		observer:        options.Observer,
+		limitRounds:     options.RoundClock,
 		clocks:          rand.New(rand.NewPCG(options.Seed, 2)),
 	}
 	world.stateService, world.cloud, world.checker = newStateService(world), newCloud(world), newChecker(world)
