--- a/internal/pipeline/memory.go
+++ b/internal/pipeline/memory.go
@@ -14,7 +14,7 @@
 	bytesPerReference = 5    // an entry in such a list
 	bytesPerDependent = 6    // an entry in a list of dependents
 	bytesPerPage      = 250  // a page of a list of upstream jobs, without its entries, and its mod revision
-	bytesPerTerminal  = 40
+	bytesPerTerminal  = 36
 )
 
 // EstimatedBytes returns the estimated memory of the table. It depends only on the stored
