--- a/internal/autoscaler/fixture_test.go
+++ b/internal/autoscaler/fixture_test.go
@@ -37,8 +37,8 @@
 
 // newFixture returns an autoscaler with the settings of cfg. It sets the dependencies in
 // cfg itself.
-func newFixture(t *testing.T, cfg Config) *fixture {
-	t.Helper()
+func newFixture(tb testing.TB, cfg Config) *fixture {
+	tb.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	names := &pipeline.Names{}
 	jobs := pipeline.NewTable(pipeline.Config{Names: names, LayoutValueBytes: testValueBytes, TxnOps: testTxnOps})
@@ -58,23 +58,23 @@
 }
 
 // setMachineTypes applies a list of machine types encoded in the cloud's protocol.
-func (f *fixture) setMachineTypes(t *testing.T, list string) {
-	t.Helper()
+func (f *fixture) setMachineTypes(tb testing.TB, list string) {
+	tb.Helper()
 	types, err := decodeMachineTypes([]byte(list))
 	if err != nil {
-		t.Fatalf("decodeMachineTypes(%s): %v", list, err)
+		tb.Fatalf("decodeMachineTypes(%s): %v", list, err)
 	}
 	f.catalog.apply(types)
 }
 
-// newScheduler returns a scheduler for one team with the given CPU limit. A limit of zero
+// newScheduler returns a scheduler for the team "t" with the given CPU limit. A limit of zero
 // means no limit.
-func (f *fixture) newScheduler(team string, maxCPUs float64) *scheduler.Scheduler {
+func (f *fixture) newScheduler(maxCPUs float64) *scheduler.Scheduler {
 	return scheduler.New(scheduler.Config{
 		Jobs:             f.jobs,
 		Workers:          f.workers,
 		MachineTypes:     f.MachineTypes(),
-		Teams:            map[pipeline.TeamIndex]config.Team{f.names.Teams.Index(team): {CPUsMax: maxCPUs}},
+		Teams:            map[pipeline.TeamIndex]config.Team{f.names.Teams.Index("t"): {CPUsMax: maxCPUs}},
 		HeartbeatTimeout: testHeartbeatTimeout,
 	})
 }
--- a/internal/autoscaler/machine_pool_test.go
+++ b/internal/autoscaler/machine_pool_test.go
@@ -31,7 +31,7 @@
 			}
 			f.booting.byIndex[7] = &bootingMachine{since: test.since}
 			f.booting.byIndex[8] = &bootingMachine{pool: machinePool{spot: true}, since: test.since}
-			plan := f.planner.newPlan(5*statedBootTime, f.newScheduler("t", 0))
+			plan := f.planner.newPlan(5*statedBootTime, f.newScheduler(0))
 			job := &pipeline.Job{Spec: pipeline.Spec{TaskCount: 1, CPUs: 1, Zone: pipeline.AnyZone, AllowSpot: true}}
 			query := poolQuery{job: job, tasks: 1, zone: pipeline.AnyZone}
 			if got, found := plan.pools.cheapest(query); !found || got.pool.machineType != test.want {
--- a/internal/autoscaler/scale_out.go
+++ b/internal/autoscaler/scale_out.go
@@ -42,6 +42,7 @@
 	plannedUsage   map[pipeline.TeamIndex]pipeline.Usage // usage that this plan provides capacity for, by team
 	waves          taskWaves                             // slots for short tasks
 	needed         map[machinePool]int                   // machines to provision, by pool
+	neededCount    int                                   // machines to provision in all pools
 }
 
 // newPlan returns a plan with the capacity of all machines that are running, booting or
@@ -159,14 +160,20 @@
 	return tasks, true
 }
 
+// maxPlannedMachines limits the machines that a plan adds, since a job of many tasks may need
+// tens of thousands. Far fewer can be requested before the next plan, which counts those as
+// capacity and adds more.
+const maxPlannedMachines = 1000
+
 // addMachines places tasks on additional machines, which it adds to the plan.
 func (p *plan) addMachines(job *pipeline.Job, left int, tasksPerZone scheduler.ZoneCounts, zone pipeline.ZoneIndex) {
-	for left > 0 {
+	for left > 0 && p.neededCount < maxPlannedMachines {
 		best, found := p.pools.cheapest(poolQuery{job: job, tasks: left, tasksPerZone: tasksPerZone, zone: zone, needed: p.needed})
 		if !found {
 			return
 		}
 		p.needed[best.pool]++
+		p.neededCount++
 		count := min(best.tasks, left)
 		capacity := p.catalog.capacity(best.pool)
 		capacity.Allocate(&job.Spec, count)
--- a/internal/autoscaler/scale_out_test.go
+++ b/internal/autoscaler/scale_out_test.go
@@ -27,7 +27,7 @@
 			f.setMachineTypes(t, `{"flavors":[{"name":"small","cores":4,"ram_gb":16,"price":1,"low_price":1,"ready_s":10,"yards":["a"]}]}`)
 			f.names.Classes.Index("c")
 			f.names.Images.Index("b")
-			scheduler := f.newScheduler("t", test.maxCPUs)
+			scheduler := f.newScheduler(test.maxCPUs)
 			ids := []string{"req-1", "req-2", "req-3"}
 			blocked := make([]*pipeline.Job, 0, len(ids))
 			for i, id := range ids {
