Begin a new round after one that was interrupted within an array

A large array is placed in many rounds. Each resumed with it, so a job of higher priority that arrived meanwhile waited for all of its tasks. Only a gang is resumed now, which must not lose its machines to other jobs. TestImportantJobDuringLargeJob fails without the change.

--- a/internal/scheduler/large_job_test.go
+++ b/internal/scheduler/large_job_test.go
@@ -69,6 +69,25 @@
 	}
 }
 
+// TestImportantJobDuringLargeJob checks that a job of higher priority that arrives while a large
+// job is placed in many rounds is placed in the next round.
+func TestImportantJobDuringLargeJob(t *testing.T) {
+	s := newLargeCluster(t, 3000)
+	large := s.addLargeJob("req-1", 2500, nil)
+	s.Round(s.now, exhausted)
+	important := s.addLargeJob("req-2", 1, func(j *pipeline.Job) { j.Priority = pipeline.High })
+	s.Round(s.now, exhausted)
+	if important.ActiveCount() != 1 {
+		t.Error("the job of higher priority was not placed in the next round")
+	}
+	for range 2 * 2500 / maxTasksPerStep {
+		s.Round(s.now, exhausted)
+	}
+	if large.ActiveCount() != 2500 {
+		t.Errorf("%d tasks of the large job are placed, want 2500", large.ActiveCount())
+	}
+}
+
 // preemptLargeJob lets a job of high priority preempt a job of low priority with as many
 // tasks, which fill the machines. It returns the number of tasks that were examined.
 func preemptLargeJob(t *testing.T, tasks int, budget Budget) (s *cluster, low *pipeline.Job, examined int) {
--- a/internal/scheduler/round.go
+++ b/internal/scheduler/round.go
@@ -154,11 +154,15 @@
 	return finished
 }
 
-// interruptWithin records that the next round resumes with the given job, some of whose tasks
-// have been placed. The job's own reservations are dropped, as it makes them again.
+// interruptWithin ends the round within the given job, some of whose tasks have been placed. If
+// it is a gang, the next round resumes with it, so that no other job uses its machines. The
+// gang's own reservations are dropped, as it makes them again. Otherwise the next round begins
+// anew, since placing a large job takes many rounds and more important jobs may arrive meanwhile.
 func (r *round) interruptWithin(job *pipeline.Job) {
-	r.interruption.next = job
-	r.interruption.reservations = slices.DeleteFunc(r.interruption.reservations, func(reservation reservation) bool { return reservation.job == job })
+	if job.Shape == pipeline.Gang {
+		r.interruption.next = job
+		r.interruption.reservations = slices.DeleteFunc(r.interruption.reservations, func(reservation reservation) bool { return reservation.job == job })
+	}
 	r.counters.interruptedRounds++
 	r.jobs.RequestRound()
 }
