--- a/internal/pipeline/assignments.go
+++ b/internal/pipeline/assignments.go
@@ -75,7 +75,7 @@
 
 // addAssignment adds a new assignment to the counts and to its machine.
 func (t *Table) addAssignment(assignment *Assignment) {
-	t.assignmentCount++
+	t.parts.assignments++
 	assignment.Job.activeCount++
 	assignment.Job.addToMachineCount(assignment.Machine, 1)
 	t.adjustUsage(assignment, 1)
@@ -85,7 +85,7 @@
 // removeAssignment removes an assignment from the counts and from its machine. The caller
 // has removed it from its segment.
 func (t *Table) removeAssignment(assignment *Assignment) {
-	t.assignmentCount--
+	t.parts.assignments--
 	assignment.Job.activeCount--
 	assignment.Job.addToMachineCount(assignment.Machine, -1)
 	assignment.Job.recordUnassigned(assignment.Task)
--- a/internal/pipeline/memory.go
+++ b/internal/pipeline/memory.go
@@ -17,6 +17,12 @@
 	bytesPerTerminal  = 36
 )
 
+// partCounts are the numbers of parts of all jobs, from which the memory is estimated.
+type partCounts struct {
+	segments    int
+	assignments int
+}
+
 // EstimatedBytes returns the estimated memory of the table. It depends only on the stored
 // records, so that all controllers arrive at the same value, also after a restart.
 func (t *Table) EstimatedBytes() int {
@@ -27,8 +33,8 @@
 // those whose records are not deleted yet.
 func (t *Table) EstimatedUnfinishedBytes() int {
 	return bytesPerJob*len(t.byID) +
-		bytesPerSegment*t.segmentCount +
-		EstimatedAssignmentBytes*t.assignmentCount +
+		bytesPerSegment*t.parts.segments +
+		EstimatedAssignmentBytes*t.parts.assignments +
 		t.Names.EstimatedBytes() +
 		t.EstimatedUpstreamBytes()
 }
@@ -108,7 +114,7 @@
 	if t.config.MemoryBytes == 0 {
 		return math.MaxInt
 	}
-	other := t.EstimatedBytes() - EstimatedAssignmentBytes*t.assignmentCount
+	other := t.EstimatedBytes() - EstimatedAssignmentBytes*t.parts.assignments
 	limit := max(t.memoryShare(minAssignmentShare), min(t.memoryShare(assignmentShare), t.memoryShare(allWorkShare)-other))
-	return max(0, limit/EstimatedAssignmentBytes-t.assignmentCount)
+	return max(0, limit/EstimatedAssignmentBytes-t.parts.assignments)
 }
--- a/internal/pipeline/segment.go
+++ b/internal/pipeline/segment.go
@@ -53,7 +53,7 @@
 			done:        make([]uint64, (t.segmentLen+record.BitsPerWord-1)/record.BitsPerWord),
 			assignments: map[int]*Assignment{},
 		})
-		t.segmentCount++
+		t.parts.segments++
 	}
 	return &job.segments[index]
 }
--- a/internal/pipeline/table.go
+++ b/internal/pipeline/table.go
@@ -40,8 +40,7 @@
 	pages   upstreamPageIndex
 	retries retryRecords
 
-	segmentCount    int // segments of all jobs
-	assignmentCount int // assignments of all jobs
+	parts partCounts
 
 	usageByTeam    map[TeamIndex]Usage // by team, the resources of its assignments
 	endedWithTasks map[*Job]bool       // jobs with a terminal record whose tasks may still be on machines
@@ -159,7 +158,7 @@
 	delete(t.retries.unsaved, job)
 	delete(t.endedWithTasks, job)
 	delete(t.graph.stale, job)
-	t.segmentCount -= len(job.segments)
+	t.parts.segments -= len(job.segments)
 	t.remove(job)
 }
 
--- a/internal/worker/task_status.go
+++ b/internal/worker/task_status.go
@@ -124,6 +124,7 @@
 		// Further attempts fail, too, until the user has uploaded the image.
 		if !assignment.Job.BackingOff(now) {
 			r.jobs.BackOff(assignment.Job, now)
+			r.log.Info("image of job is unknown, backing off before the next attempt", "job", assignment.Job.ID, "failures", assignment.Job.Failures())
 		}
 	}
 }
