Store a machine type once, however often a job names it

A user may name the same machine type thousands of times in the list of allowed types. Every controller kept the whole list, eight bytes a name, which the estimate of the memory of accepted jobs does not count.

A specification now has each type once, also if a stored record repeats it.

Evidence: TestEstimatedBytes has a case with 5,000 jobs that name two types a thousand times each.

--- a/internal/api/feasibility.go
+++ b/internal/api/feasibility.go
@@ -49,7 +49,7 @@
 	}
 	for _, name := range sub.MachineTypes {
 		if i, ok := s.names.MachineTypes.Lookup(*name); ok {
-			spec.MachineTypes = append(spec.MachineTypes, i)
+			spec.AllowMachineType(i)
 		}
 	}
 	if sub.MachineTypes != nil && spec.MachineTypes == nil {
--- a/internal/pipeline/job.go
+++ b/internal/pipeline/job.go
@@ -52,7 +52,7 @@
 	CPUs, GPUs, Memory float64 // per task
 	Image              ImageIndex
 	ImageGB            float64
-	MachineTypes       []MachineTypeIndex // nil means any type
+	MachineTypes       []MachineTypeIndex // without repetitions; nil means any type
 	Zone               ZoneIndex          // AnyZone if the job may run in any zone
 	SameZone           bool
 	SpreadZones        bool
@@ -71,6 +71,14 @@
 	return slices.Contains(s.MachineTypes, machineType)
 }
 
+// AllowMachineType adds a machine type to those that the job may use. A user may name a type
+// thousands of times, which must not take memory on every controller.
+func (s *Spec) AllowMachineType(machineType MachineTypeIndex) {
+	if !slices.Contains(s.MachineTypes, machineType) {
+		s.MachineTypes = append(s.MachineTypes, machineType)
+	}
+}
+
 // AllowsZone reports whether the job may use a zone.
 func (s *Spec) AllowsZone(zone ZoneIndex) bool { return s.Zone == AnyZone || s.Zone == zone }
 
--- a/internal/pipeline/job_record.go
+++ b/internal/pipeline/job_record.go
@@ -81,7 +81,7 @@
 		Deadline:           stored.Deadline,
 	}
 	for _, machineType := range stored.MachineTypes {
-		spec.MachineTypes = append(spec.MachineTypes, names.MachineTypes.Index(machineType))
+		spec.AllowMachineType(names.MachineTypes.Index(machineType))
 	}
 	if stored.Zone != "" {
 		spec.Zone = names.Zones.Index(stored.Zone)
--- a/internal/pipeline/memory_test.go
+++ b/internal/pipeline/memory_test.go
@@ -79,6 +79,7 @@
 		{"lists", func(f *fixture) { f.storeLongLists(random, longListIDs(random, 6000), 200, 4500) }},
 		{"short lists", func(f *fixture) { f.storeLongLists(random, longListIDs(random, 6000), 5000, 20) }},
 		{"jobs", func(f *fixture) { f.storeLongLists(random, longListIDs(random, 20_000), 0, 0) }},
+		{"jobs with repeated machine types", func(f *fixture) { f.storeJobsOfRepeatedTypes(5000, 1000) }},
 		{"assignments", func(f *fixture) { f.storeAssignedJobs(50, 1000) }},
 		{"assigned jobs", func(f *fixture) { f.storeAssignedJobs(20_000, 1) }},
 		{"terminal records", func(f *fixture) {
@@ -101,6 +102,18 @@
 	}
 }
 
+// storeJobsOfRepeatedTypes stores jobs whose records name two machine types a number of times.
+func (f *fixture) storeJobsOfRepeatedTypes(jobs, repetitions int) {
+	stored := record.Job{Class: "c", Team: "red", Image: "b", TaskCount: 1, Ready: true}
+	for range repetitions {
+		stored.MachineTypes = append(stored.MachineTypes, "m", "n")
+	}
+	data := stored.Encode()
+	for i := range jobs {
+		f.HandleChange(record.KindJob, fmt.Sprintf("req-%09d", i), data, 1)
+	}
+}
+
 // storeAssignedJobs stores jobs whose tasks are all assigned, on machines of 20 tasks each.
 func (f *fixture) storeAssignedJobs(jobs, tasks int) {
 	spec := Spec{TaskCount: tasks, CPUs: 1, Memory: 1, Zone: AnyZone}
