Forget the names of submissions that are refused

A submission's class and image got indices before it was decided whether the job is accepted, and indices were never freed. So each refused submission with a new name took memory for ever: 503 for lack of memory, a record that is too large, or an unknown upstream job. Since names count in the estimate of accepted work, a controller would also refuse everything in the end.

The names are indexed when the record is prepared, and those that are new are removed if the job is not accepted. A submission that is being validated is a type of its own now, candidate, in place of three values.

Evidence: TestNamesOfRefusedJobsAreForgotten fails before in three of its four cases ("names take 3961 more bytes after 20 refused submissions, want at most 250").

--- a/internal/api/admission_test.go
+++ b/internal/api/admission_test.go
@@ -81,3 +81,35 @@
 		})
 	}
 }
+
+// TestNamesOfRefusedJobsAreForgotten guards against controllers that run out of memory from
+// submissions that they refuse: each took the memory of its names for ever.
+func TestNamesOfRefusedJobsAreForgotten(t *testing.T) {
+	const submissions = 20
+	longName := strings.Repeat("x", valueBytes)
+	for _, c := range []struct {
+		name   string
+		memory int
+		fields string
+		status int
+	}{
+		{"too little memory", 1, "", 503},
+		{"record too large", 0, `,"jobclass":"` + longName + `"`, 400},
+		{"unknown upstream job", 0, `,"awaits":["req-999"]`, 422},
+		{"unknown team", 0, `,"owner":"unknown"`, 422},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newControllerWith(t, newFakeStore(t), "n0", pipeline.Config{MemoryBytes: c.memory})
+			before := n.jobs.Names.EstimatedBytes()
+			for i := range submissions {
+				reply := n.submit(i, fmt.Sprintf(`,"bundle":"image-%d"%s`, i, c.fields))
+				n.expect("submission", reply, c.status, "")
+			}
+			// One free index may remain in each table.
+			if grown := n.jobs.Names.EstimatedBytes() - before; grown > 250 {
+				t.Errorf("names take %d more bytes after %d refused submissions, want at most 250", grown, submissions)
+			}
+			n.expect("poll of a refused job", n.poll(0), 404, "")
+		})
+	}
+}
--- a/internal/api/feasibility.go
+++ b/internal/api/feasibility.go
@@ -7,9 +7,9 @@
 	"lugward/internal/pipeline"
 )
 
-// newJob creates a job from a submission. It returns an *infeasibleError if the job could
-// never run, and an *unavailableError if the cloud's machine types are not known yet, as
-// feasibility cannot be checked without them.
+// newJob creates a job from a submission, without its class and image, see indexNames. It
+// returns an *infeasibleError if the job could never run, and an *unavailableError if the
+// cloud's machine types are not known yet, as feasibility cannot be checked without them.
 func (s *Server) newJob(sub *submission) (*pipeline.Job, error) {
 	team, ok := s.teams[*sub.Team]
 	if !ok {
@@ -25,10 +25,7 @@
 	if err := s.checkFeasible(&j.Spec, team); err != nil {
 		return nil, err
 	}
-	// Indices are never freed, so names of rejected jobs must not get any.
-	j.Class = s.names.Classes.Index(*sub.Class)
 	j.Team = s.names.Teams.Index(*sub.Team)
-	j.Image = s.names.Images.Index(*sub.Image)
 	return j, nil
 }
 
--- a/internal/api/submission_test.go
+++ b/internal/api/submission_test.go
@@ -44,7 +44,7 @@
 			n.expect("submission", n.send("POST", "/submissions", text), c.status, "")
 			sub, err := parseSubmission([]byte(text))
 			if err == nil {
-				_, _, err = n.server.validate(sub)
+				_, err = n.server.validate(sub)
 			}
 			if err == nil || err.Error() != c.want {
 				t.Errorf("got error %v, want %s", err, c.want)
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -24,16 +24,16 @@
 	if s.replyToRepeat(now, r.Conn, *sub.ID, out) {
 		return
 	}
-	j, upstream, err := s.validate(sub)
+	c, err := s.validate(sub)
 	switch {
 	case isUnavailable(err):
 		replyError(r.Conn, err, out)
 	case err != nil:
 		s.rejectAfterBarrier(r.Conn, *sub.ID, err)
-	case s.checkUpstream(upstream) != nil:
-		s.acceptAfterBarrier(r.Conn, j, upstream)
+	case s.checkUpstream(c.upstream) != nil:
+		s.acceptAfterBarrier(r.Conn, c)
 	default:
-		s.accept(now, r.Conn, j, upstream, out)
+		s.accept(now, r.Conn, c, out)
 	}
 }
 
@@ -56,20 +56,6 @@
 	return false
 }
 
-// validate returns the submitted job and the IDs of its upstream jobs, or an error if
-// the submission must be rejected. It does not check whether the upstream jobs exist.
-func (s *Server) validate(sub *submission) (*pipeline.Job, []string, error) {
-	upstream, err := sub.upstreamJobs()
-	if err != nil {
-		return nil, nil, err
-	}
-	j, err := s.newJob(sub)
-	if err != nil {
-		return nil, nil, err
-	}
-	return j, upstream, nil
-}
-
 // rejectAfterBarrier rejects a submission after a read barrier, unless the barrier
 // shows the job as accepted: another controller with newer data may have just accepted
 // it.
@@ -82,48 +68,59 @@
 // acceptAfterBarrier accepts a job if all of its upstream jobs are known after a read
 // barrier. The barrier is needed because the watch cache may lag behind the controllers
 // that accepted them.
-func (s *Server) acceptAfterBarrier(conn uint64, j *pipeline.Job, upstream []string) {
-	s.replyAfterBarrier(conn, j.ID, func(now event.Time, out *event.Effects) {
-		if err := s.checkUpstream(upstream); err != nil {
+func (s *Server) acceptAfterBarrier(conn uint64, c *candidate) {
+	s.replyAfterBarrier(conn, c.job.ID, func(now event.Time, out *event.Effects) {
+		if err := s.checkUpstream(c.upstream); err != nil {
 			replyError(conn, err, out)
 			return
 		}
-		s.accept(now, conn, j, upstream, out)
+		s.accept(now, conn, c, out)
 	})
 }
 
-// accept writes the record of a validated job.
-func (s *Server) accept(now event.Time, conn uint64, j *pipeline.Job, upstream []string, out *event.Effects) {
+// accept writes the record of a validated job, unless there is no room for it.
+func (s *Server) accept(now event.Time, conn uint64, c *candidate, out *event.Effects) {
+	added := s.indexNames(c)
+	pages, data, err := s.prepareRecord(now, c)
+	if err != nil {
+		s.releaseNames(c, added)
+		replyError(conn, err, out)
+		return
+	}
+	if len(pages) > 0 {
+		s.startPagedSubmission(now, conn, c.job, pages, out)
+		return
+	}
+	s.writeUnpagedRecord(now, conn, c.job.ID, data)
+}
+
+// prepareRecord returns the encoded record of a new job, and the pages of its list of
+// upstream jobs if the record does not hold the list. It returns an error if the record is too
+// large, or if there is no room for the job in the controllers' memory or in the queue of writes.
+func (s *Server) prepareRecord(now event.Time, c *candidate) (pages [][]byte, data []byte, err error) {
+	j := c.job
 	j.SubmittedAt = s.jobs.UnixMS(now)
-	j.Ready = s.allDone(upstream)
+	j.Ready = s.allDone(c.upstream)
 	if j.Ready {
 		j.ReadyAt = j.SubmittedAt
 	}
-	pages := s.setUpstream(j, upstream)
-	data, err := s.encodeRecord(j, len(pages) > 0)
-	if err != nil {
-		replyError(conn, err, out)
-		return
+	pages = s.setUpstream(j, c.upstream)
+	if data, err = s.encodeRecord(j, len(pages) > 0); err != nil {
+		return nil, nil, err
 	}
-	heldFor := len(upstream)
+	heldFor := len(c.upstream)
 	if j.Ready {
 		heldFor = 0
 	}
-	if err := s.admit(heldFor, len(pages)); err != nil {
-		replyError(conn, err, out)
-		return
+	if err = s.admit(heldFor, len(pages)); err != nil {
+		return nil, nil, err
 	}
 	if delay := s.store.QueueDelay(kv.PrioritySubmission); delay.SecondsAtTotalRate > s.cfg.RequestTimeout.Seconds() {
 		// The write would stay in the queue until the request has timed out.
 		// Rejecting it now leaves the write rate to the writes already queued.
-		replyError(conn, s.backlogError(), out)
-		return
-	}
-	if len(pages) > 0 {
-		s.startPagedSubmission(now, conn, j, pages, out)
-		return
+		return nil, nil, s.backlogError()
 	}
-	s.writeUnpagedRecord(now, conn, j.ID, data)
+	return pages, data, nil
 }
 
 // encodeRecord returns the encoded record of a new job. It returns a *malformedError
--- a/internal/pipeline/names.go
+++ b/internal/pipeline/names.go
@@ -18,7 +18,7 @@
 type ZoneIndex int
 
 // MachineIndex is the index of a machine in Names. The index of a removed machine is
-// reused. The indices of the other tables are never reused.
+// reused. The indices of the other tables are only reused if no accepted job had the name.
 type MachineIndex int
 
 // Names holds the tables that map names to the indices used in the other types.
