Count the memory of terminal records with long IDs

IDs of more than 17 digits are kept as text and take 87 bytes a record. They were estimated at 36, so jobs with such IDs were accepted until all that ever ended took more than twice the share of the memory that is meant for them.

Evidence: the new case of TestEstimatedBytes fails before: "estimated 3.60 MB, want at least the 8.70 MB in use and at most twice that". Now 11.00 MB.

--- a/internal/pipeline/memory.go
+++ b/internal/pipeline/memory.go
@@ -14,7 +14,8 @@
 	bytesPerReference = 5    // an entry in such a list
 	bytesPerDependent = 6    // an entry in a list of dependents
 	bytesPerPage      = 250  // a page of a list of upstream jobs, without its entries, and its mod revision
-	bytesPerTerminal  = 36
+	bytesPerTerminal  = 36   // a terminal record whose ID is packed
+	bytesPerLongID    = 110  // a terminal record whose ID is too long for that
 )
 
 // partCounts are the numbers of parts of all jobs, from which the memory is estimated.
@@ -26,7 +27,9 @@
 // EstimatedBytes returns the estimated memory of the table. It depends only on the stored
 // records, so that all controllers arrive at the same value, also after a restart.
 func (t *Table) EstimatedBytes() int {
-	return t.EstimatedUnfinishedBytes() + bytesPerTerminal*t.Terminal.len()
+	return t.EstimatedUnfinishedBytes() +
+		bytesPerTerminal*len(t.Terminal.packed) +
+		bytesPerLongID*len(t.Terminal.other)
 }
 
 // EstimatedUnfinishedBytes returns the part of EstimatedBytes that unfinished jobs take, and
--- a/internal/pipeline/memory_test.go
+++ b/internal/pipeline/memory_test.go
@@ -87,6 +87,11 @@
 				f.HandleChange(record.KindTerminal, id, EncodeTerminal(Done, &Job{Spec: Spec{TaskCount: 1}}), 1)
 			}
 		}},
+		{"terminal records of long IDs", func(f *fixture) {
+			for i := range 100_000 {
+				f.HandleChange(record.KindTerminal, fmt.Sprintf("req-%019d", i), EncodeTerminal(Done, &Job{Spec: Spec{TaskCount: 1}}), 1)
+			}
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			before := heapBytes()
--- a/internal/pipeline/terminal_records.go
+++ b/internal/pipeline/terminal_records.go
@@ -75,9 +75,6 @@
 	r.other[id] = terminal
 }
 
-// len returns the number of records.
-func (r *TerminalRecords) len() int { return len(r.packed) + len(r.other) }
-
 // packID packs an ID that consists of record.JobIDPrefix and at most maxPackedDigits digits.
 // ok is false for any other ID.
 func packID(id string) (key packedID, ok bool) {
