Count the leader's copy of task statuses as memory of assignments

The leader keeps the last heartbeat of each machine to compare it with the next one: its text, and the decoded status of each task, 140 to 212 bytes a task. The estimate by which assignments are limited counted the table only.

A status holds its phase and cause as numbers now, and the list has no unused capacity: 104 to 169 bytes a task. The estimate of an assignment is 360 bytes, 190 of them for the status, on every controller, since any may become leader. At 98 MB 85,000 tasks may be assigned, and 42,000 whatever else there is.

Evidence: TestMemoryAtItsLimits fills a controller with lists, jobs and tasks until each is refused.

The test of the longest heartbeat writes the statuses as text, as TaskStatus has no text of its own any more; the size that it checks is the same.

--- a/internal/pipeline/memory.go
+++ b/internal/pipeline/memory.go
@@ -2,8 +2,15 @@
 
 import "math"
 
-// EstimatedAssignmentBytes is the estimated memory of an assignment.
-const EstimatedAssignmentBytes = 260
+// Estimated bytes of memory of a task that is assigned.
+const (
+	// EstimatedReportedTaskBytes is for the status of the task in the last heartbeat of its
+	// machine, which the leader keeps (worker.HeartbeatParser). It counts on all controllers,
+	// as any of them may become leader.
+	EstimatedReportedTaskBytes = 190
+	// EstimatedAssignmentBytes is for the assignment and the status.
+	EstimatedAssignmentBytes = 170 + EstimatedReportedTaskBytes
+)
 
 // Estimated bytes of memory of the parts of a table, as measured by TestEstimatedBytes, with a
 // reserve for the growth of maps and lists.
@@ -63,7 +70,7 @@
 	// allWorkShare is for unfinished jobs and all terminal records, which are never deleted.
 	// A new job must leave it.
 	allWorkShare = 0.55
-	// assignmentShare is for assignments, as far as all work leaves it. It allows for about 30
+	// assignmentShare is for assignments, as far as all work leaves it. It allows for about 20
 	// tasks on each of 4,000 machines at the smallest memory of a site.
 	assignmentShare = 0.3
 	// minAssignmentShare is for assignments whatever else there is, so that accepted jobs run
--- a/internal/pipeline/memory_test.go
+++ b/internal/pipeline/memory_test.go
@@ -97,7 +97,8 @@
 			before := heapBytes()
 			f := newFixture()
 			c.fill(f)
-			used, estimate := heapBytes()-before, float64(f.EstimatedBytes())
+			// The status of assigned tasks in heartbeats is not part of the table.
+			used, estimate := heapBytes()-before, float64(f.EstimatedBytes()-EstimatedReportedTaskBytes*f.parts.assignments)
 			t.Logf("%.2f MB in use, estimated %.2f MB", used/1e6, estimate/1e6)
 			if estimate < used || estimate > 2*used {
 				t.Errorf("estimated %.2f MB, want at least the %.2f MB in use and at most twice that", estimate/1e6, used/1e6)
--- a/internal/worker/commands_test.go
+++ b/internal/worker/commands_test.go
@@ -33,7 +33,7 @@
 			}
 			c.jobs.HandleChange(record.KindTerminal, "req-1", pipeline.EncodeTerminal(pipeline.Cancelled, job), 3)
 			heartbeat := workertest.Heartbeat("i-1", c.now)
-			heartbeat.Tasks = []worker.TaskStatus{{Task: "req-1/0", Attempt: 3, Phase: "running"}}
+			heartbeat.Tasks = []worker.TaskStatus{workertest.TaskStatus("req-1/0", 3, "running", "")}
 			if err := c.HandleHeartbeat(heartbeat, c.now, leader); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/worker/fixture_test.go
+++ b/internal/worker/fixture_test.go
@@ -69,7 +69,7 @@
 func (c *cluster) heartbeat(t *testing.T, machine string, job *pipeline.Job, task int, phase, cause string) {
 	t.Helper()
 	c.sequence++
-	status := worker.TaskStatus{Task: job.ID + "/" + strconv.Itoa(task), Phase: phase, Cause: cause}
+	status := workertest.TaskStatus(job.ID+"/"+strconv.Itoa(task), 0, phase, cause)
 	if assignment := job.Assignment(task); assignment != nil {
 		status.Attempt = assignment.Attempt
 	}
--- a/internal/worker/heartbeat.go
+++ b/internal/worker/heartbeat.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"lugward/internal/jsonwire"
+	"lugward/internal/pipeline"
 )
 
 // parseHeartbeat decodes a heartbeat and checks its required fields. It returns an error of
@@ -46,4 +47,4 @@
 }
 
 // exited reports whether the task has exited.
-func (t *TaskStatus) exited() bool { return t.Phase == phaseExited }
+func (t *TaskStatus) exited() bool { return pipeline.TaskPhase(t.Phase) == pipeline.TaskExited }
--- a/internal/worker/heartbeat_handling_test.go
+++ b/internal/worker/heartbeat_handling_test.go
@@ -77,7 +77,7 @@
 	c.run(t, job, "i-1")
 	heartbeat := workertest.Heartbeat("i-1", c.now)
 	heartbeat.Sequence = c.sequence
-	heartbeat.Tasks = []worker.TaskStatus{{Task: "req-1/0", Attempt: job.Assignment(0).Attempt, Phase: "running"}}
+	heartbeat.Tasks = []worker.TaskStatus{workertest.TaskStatus("req-1/0", job.Assignment(0).Attempt, "running", "")}
 	allocations := testing.AllocsPerRun(100, func() {
 		heartbeat.Sequence++
 		if err := c.HandleHeartbeat(heartbeat, c.now, leader); err != nil {
--- a/internal/worker/heartbeat_parser.go
+++ b/internal/worker/heartbeat_parser.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 )
 
@@ -60,6 +61,7 @@
 		p.cacheKeys = map[string]string{}
 	}
 	delete(p.cached, p.cacheKeys[heartbeat.Machine])
+	heartbeat.Tasks = slices.Concat(heartbeat.Tasks) // without the unused capacity of the decoder's list
 	key := string(text.before)
 	p.cacheKeys[heartbeat.Machine] = key
 	p.cached[key] = &cachedHeartbeat{*heartbeat, bytes.Clone(text.after)}
--- a/internal/worker/large_jobs_test.go
+++ b/internal/worker/large_jobs_test.go
@@ -37,7 +37,7 @@
 		return heartbeat
 	}
 	for task := range job.TaskCount {
-		heartbeat.Tasks = append(heartbeat.Tasks, worker.TaskStatus{Task: fmt.Sprintf("req-1/%d", task), Attempt: 1, Phase: phase, Cause: cause})
+		heartbeat.Tasks = append(heartbeat.Tasks, workertest.TaskStatus(fmt.Sprintf("req-1/%d", task), 1, phase, cause))
 	}
 	return heartbeat
 }
--- a/internal/worker/message_limits_test.go
+++ b/internal/worker/message_limits_test.go
@@ -20,14 +20,25 @@
 // TestHeartbeatOfFullMachineFits checks that the longest statuses of as many tasks as a machine
 // gets fit in one heartbeat.
 func TestHeartbeatOfFullMachineFits(t *testing.T) {
+	type longestStatus struct {
+		Task             string `json:"shard"`
+		Attempt          uint64 `json:"try"`
+		Phase            string `json:"phase"`
+		Cause            string `json:"cause"`
+		CheckpointStored bool   `json:"stored"`
+	}
 	heartbeat := workertest.Heartbeat("i-0000000000", math.MaxInt64)
 	heartbeat.Incarnation, heartbeat.FencingToken = math.MaxUint64, math.MaxUint64
+	message := struct {
+		*worker.Heartbeat
+		Tasks []longestStatus `json:"shards"`
+	}{Heartbeat: heartbeat}
 	for i := range worker.MaxTasksPerMachine {
-		heartbeat.Tasks = append(heartbeat.Tasks, worker.TaskStatus{
+		message.Tasks = append(message.Tasks, longestStatus{
 			Task: fmt.Sprintf("req-9999999999999999999/%d", 99_999-i), Attempt: math.MaxUint64, Phase: "exited", Cause: "incomplete", CheckpointStored: true,
 		})
 	}
-	data, err := json.Marshal(heartbeat)
+	data, err := json.Marshal(message)
 	if err != nil || len(data) > maxMessageBytes {
 		t.Errorf("heartbeat of %d tasks has %d bytes, %v; want at most %d", worker.MaxTasksPerMachine, len(data), err, maxMessageBytes)
 	}
@@ -63,7 +74,7 @@
 		for _, command := range commands {
 			if command.Verb == "start" && !started[command.Task] {
 				started[command.Task] = true
-				listed = append(listed, worker.TaskStatus{Task: command.Task, Attempt: command.Attempt, Phase: "running"})
+				listed = append(listed, workertest.TaskStatus(command.Task, command.Attempt, "running", ""))
 			}
 		}
 	}
--- a/internal/worker/protocol.go
+++ b/internal/worker/protocol.go
@@ -25,13 +25,14 @@
 	Tasks        []TaskStatus `json:"shards"`
 }
 
-// TaskStatus is the status of a task in a heartbeat.
+// TaskStatus is the status of a task in a heartbeat. The leader keeps those of all tasks in the
+// last heartbeats, so the struct is small.
 type TaskStatus struct {
-	Task             string `json:"shard"`
-	Attempt          uint64 `json:"try"`
-	Phase            string `json:"phase"`
-	Cause            string `json:"cause"` // why the task has exited, empty before
-	CheckpointStored bool   `json:"stored"`
+	Task             string    `json:"shard"`
+	Attempt          uint64    `json:"try"`
+	Phase            Phase     `json:"phase"`
+	Cause            ExitCause `json:"cause"`
+	CheckpointStored bool      `json:"stored"`
 }
 
 // Command is a command to a worker.
@@ -70,25 +71,51 @@
 	verbReap      = "reap" // forget a task that has exited
 )
 
-// Causes of the exit of a task.
+// Phase is the phase of a task in a heartbeat. An unknown one is TaskUnseen.
+type Phase pipeline.TaskPhase
+
+// phases maps the phases in heartbeats to task phases.
+var phases = map[string]pipeline.TaskPhase{
+	"pulling": pipeline.TaskPulling,
+	"waiting": pipeline.TaskWaitingForGang,
+	"running": pipeline.TaskRunning,
+	"saving":  pipeline.TaskCheckpointing,
+	"exited":  pipeline.TaskExited,
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (p *Phase) UnmarshalText(text []byte) error {
+	*p = Phase(phases[string(text)])
+	return nil
+}
+
+// ExitCause is the cause of the exit of a task in a heartbeat.
+type ExitCause uint8
+
+// The causes that are treated differently. All others, and that of a task that has not
+// exited, are otherCause.
 const (
-	causeCompleted    = "done"
-	causeFailed       = "error"
-	causeNoCapacity   = "full"    // the worker lacks free capacity
-	causeTaskConflict = "in_use"  // another attempt of the task is on the worker
-	causeUnknownImage = "unknown" // the image has not been uploaded
+	otherCause ExitCause = iota
+	causeCompleted
+	causeFailed
+	causeNoCapacity   // the worker lacks free capacity
+	causeTaskConflict // another attempt of the task is on the worker
+	causeUnknownImage // the image has not been uploaded
 )
 
-// phaseExited is the phase of a task that has exited.
-const phaseExited = "exited"
+// causes maps the causes in heartbeats to exit causes.
+var causes = map[string]ExitCause{
+	"done":    causeCompleted,
+	"error":   causeFailed,
+	"full":    causeNoCapacity,
+	"in_use":  causeTaskConflict,
+	"unknown": causeUnknownImage,
+}
 
-// phases maps the phases in heartbeats to task phases.
-var phases = map[string]pipeline.TaskPhase{
-	"pulling":   pipeline.TaskPulling,
-	"waiting":   pipeline.TaskWaitingForGang,
-	"running":   pipeline.TaskRunning,
-	"saving":    pipeline.TaskCheckpointing,
-	phaseExited: pipeline.TaskExited,
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *ExitCause) UnmarshalText(text []byte) error {
+	*c = causes[string(text)]
+	return nil
 }
 
 // ParseTaskName splits the name of a task into the job ID and the task number. ok is false
--- a/internal/worker/task_status.go
+++ b/internal/worker/task_status.go
@@ -61,7 +61,7 @@
 
 // updateAssignment records the status of a task with an assignment.
 func (r *Registry) updateAssignment(machine *Machine, assignment *pipeline.Assignment, status *TaskStatus, now event.Time) {
-	phase := phases[status.Phase]
+	phase := pipeline.TaskPhase(status.Phase)
 	if started := assignment.RecordPhase(phase, now); started {
 		r.logStart(machine, assignment, now)
 	}
@@ -88,7 +88,7 @@
 
 // handleTaskExit handles the exit of a task. It records the completion of the task, or clears
 // its assignment so that the task can run again.
-func (r *Registry) handleTaskExit(machine *Machine, assignment *pipeline.Assignment, cause string, now event.Time) {
+func (r *Registry) handleTaskExit(machine *Machine, assignment *pipeline.Assignment, cause ExitCause, now event.Time) {
 	job := assignment.Job
 	r.jobs.RequestRound()
 	r.jobs.MarkMachineChanged(machine.Index) // the resources of the task are free again
@@ -112,7 +112,7 @@
 }
 
 // handleExitCause handles the cause for which a task has exited without completing.
-func (r *Registry) handleExitCause(machine *Machine, assignment *pipeline.Assignment, cause string, now event.Time) {
+func (r *Registry) handleExitCause(machine *Machine, assignment *pipeline.Assignment, cause ExitCause, now event.Time) {
 	switch cause {
 	case causeFailed:
 		if assignment.Pending() == pipeline.NoPendingWrite {
