Let the Go runtime use 0.75 of the controller's memory

Its limit was 0.6, less than what accepted jobs, assignments and terminal records may take together (0.7 by the estimate, less by the heap). A controller beside that limit collects garbage without end, and its share of a core does not suffice for that. Network buffers are part of the Go heap, so little is outside.

--- a/cmd/lugward/main.go
+++ b/cmd/lugward/main.go
@@ -121,9 +121,9 @@
 	}
 }
 
-// heapShare is the fraction of the controller's memory that the Go heap may use. The rest
-// is for stacks, network buffers and the C library.
-const heapShare = 0.6
+// heapShare is the fraction of the controller's memory that the Go runtime may use. The rest
+// is for the program itself, the C library, and the time until a collection has ended.
+const heapShare = 0.75
 
 // limitRuntime keeps the Go runtime within the controller's resources. The controller has
 // a share of one core, so more than one thread running Go code would only add context
