Reject gangs for which there is never memory

A gang starts with all of its tasks, and the memory for assignments bounds how many tasks may be assigned. A gang beyond the share that assignments always have was accepted and never ran.

TestGangBeyondMemory fails without the check (201 instead of 422).

--- a/internal/api/admission_test.go
+++ b/internal/api/admission_test.go
@@ -113,3 +113,17 @@
 		})
 	}
 }
+
+// TestGangBeyondMemory guards against gangs that are accepted although the memory for assignments
+// never suffices for all of their tasks, so that they never run.
+func TestGangBeyondMemory(t *testing.T) {
+	n := newControllerWith(t, newFakeStore(t), "n0", pipeline.Config{MemoryBytes: 4 << 20})
+	limit := n.jobs.MaxGangTasks()
+	if limit > n.jobs.AssignmentsLeft() {
+		t.Fatalf("a gang of %d tasks may be accepted, but only %d tasks assigned", limit, n.jobs.AssignmentsLeft())
+	}
+	gang := func(tasks int) string { return fmt.Sprintf(`,"shape":"gang","cores":0.001,"shards":%d`, tasks) }
+	n.expect("largest gang", n.submit(1, gang(limit)), 201, "queued")
+	n.expect("larger gang", n.submit(2, gang(limit+1)), 422, "")
+	n.expect("array", n.submit(3, fmt.Sprintf(`,"cores":0.001,"shards":%d`, limit+1)), 201, "queued")
+}
--- a/internal/api/feasibility.go
+++ b/internal/api/feasibility.go
@@ -56,7 +56,7 @@
 }
 
 // checkFeasible returns an *infeasibleError if the job does not fit the machine types,
-// the zones or its team's limit.
+// the zones, its team's limit or the controllers' memory.
 func (s *Server) checkFeasible(spec *pipeline.Spec, team config.Team) error {
 	fits, zones := s.usableZones(spec)
 	if !fits {
@@ -65,6 +65,9 @@
 	if err := checkTeamLimit(spec, team); err != nil {
 		return err
 	}
+	if limit := s.jobs.MaxGangTasks(); spec.IsGang() && spec.TaskCount > limit {
+		return infeasible(fieldTasks, spec.TaskCount, fmt.Sprintf("at most %d tasks in a gang, as the controllers keep all of them in memory", limit))
+	}
 	// Spreading over zones allows at most half of the tasks in one zone, so it needs at
 	// least two zones.
 	spread := spec.SpreadZones && spec.TaskCount > 1 && spec.CountsAllTasks()
--- a/internal/pipeline/memory.go
+++ b/internal/pipeline/memory.go
@@ -118,6 +118,15 @@
 	return EnoughMemory
 }
 
+// MaxGangTasks returns the number of tasks of a gang for which there is always memory, apart from
+// that of other assignments.
+func (t *Table) MaxGangTasks() int {
+	if t.config.MemoryBytes == 0 {
+		return math.MaxInt
+	}
+	return t.memoryShare(minAssignmentShare) / EstimatedAssignmentBytes
+}
+
 // AssignmentsLeft returns how many more tasks may be assigned within the memory for
 // assignments.
 func (t *Table) AssignmentsLeft() int {
