Limit the memory of requests that are being received

Each connection buffers up to 64 KiB of a request that is not complete, or of the next one before a reply.

All clients together may buffer 0.05 of ram_mb. A client that exceeds it gets 503, or is disconnected if it waits for a reply; both are retried. Requests that arrive as a whole are answered as before. gnet's buffers take up to twice that.

--- a/cmd/lugward/main.go
+++ b/cmd/lugward/main.go
@@ -125,12 +125,17 @@
 // is for the program itself, the C library, and the time until a collection has ended.
 const heapShare = 0.75
 
+// unreadShare is the fraction of the controller's memory that input of clients may take while
+// their requests are incomplete. gnet's buffers take up to twice that.
+const unreadShare = 0.05
+
+const bytesPerMB = 1 << 20
+
 // limitRuntime keeps the Go runtime within the controller's resources. The controller has
 // a share of one core, so more than one thread running Go code would only add context
 // switches.
 func limitRuntime(memoryMB float64) {
 	runtime.GOMAXPROCS(1)
-	const bytesPerMB = 1 << 20
 	debug.SetMemoryLimit(int64(memoryMB * heapShare * bytesPerMB))
 }
 
@@ -168,5 +173,6 @@
 		PeerBind:       cfg.PeerBind,
 		Peers:          peers,
 		MaxConnections: cfg.Settings.Resources.MaxConnections,
+		MaxUnreadBytes: int(cfg.Settings.Resources.MemoryMB * unreadShare * bytesPerMB),
 	}
 }
--- a/internal/engine/connection.go
+++ b/internal/engine/connection.go
@@ -60,6 +60,7 @@
 	// Fields of incoming connections.
 	clientClass clientClass
 	partial     bool // an incomplete request or frame is buffered
+	unreadBytes int  // buffered input of a client
 
 	// Fields of outgoing connections.
 	addr string
@@ -169,6 +170,7 @@
 	switch c.kind {
 	case incomingHTTP, incomingPeer:
 		e.sockets.incoming--
+		e.setUnread(c, 0)
 	case outgoingPeer:
 		if link := e.peers[c.peer]; link.connection == c {
 			link.connection = nil
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,7 @@
 	Bind, PeerBind string   // listen addresses for HTTP and for peers
 	Peers          []string // endpoints, indexed like the state machine's peers
 	MaxConnections int      // limit on open sockets, incoming and outgoing
+	MaxUnreadBytes int      // limit on the buffered input of all clients; zero means none
 }
 
 // engine owns the sockets. Only the event loop accesses it, with one exception: other
--- a/internal/engine/fixture_test.go
+++ b/internal/engine/fixture_test.go
@@ -122,7 +122,13 @@
 // serve runs an engine with the given state machine until the test ends.
 func serve(t *testing.T, stateMachine StateMachine, maxConnections int) Config {
 	t.Helper()
-	cfg := Config{Bind: freeAddr(t), PeerBind: freeAddr(t), MaxConnections: maxConnections}
+	return serveWith(t, stateMachine, Config{MaxConnections: maxConnections})
+}
+
+// serveWith is like serve with a configuration, of which it sets the addresses.
+func serveWith(t *testing.T, stateMachine StateMachine, cfg Config) Config {
+	t.Helper()
+	cfg.Bind, cfg.PeerBind = freeAddr(t), freeAddr(t)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, cfg, stateMachine, slog.New(slog.DiscardHandler)) }()
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -16,7 +16,7 @@
 		e.step(requestInput{c})
 		return gnet.None
 	}
-	if c.socket.InboundBuffered() > maxPipelinedBytes {
+	if c.socket.InboundBuffered() > maxPipelinedBytes || !e.fitsUnread(c) {
 		return gnet.Close
 	}
 	return gnet.None
@@ -36,8 +36,12 @@
 	message, size, err := httpwire.ParseRequest(in)
 	c.partial = errors.Is(err, httpwire.ErrIncomplete)
 	if c.partial {
+		if !e.fitsUnread(c) {
+			e.rejectUnread(c)
+		}
 		return
 	}
+	e.setUnread(c, 0)
 	if err != nil {
 		e.rejectRequest(c, err)
 		return
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -60,6 +60,7 @@
 	lastID      uint64
 	incoming    int
 	workers     int // number of incoming connections of workers
+	unreadBytes int // buffered input of all clients
 	// idle lists the incoming HTTP connections without a pending request, by client
 	// class, least recently used first.
 	idle [numClientClasses]list.List
