Count lists that wait for a read barrier in the admission of jobs

A submission that names jobs its controller has not seen waits for a read barrier with its list as text: 4,500 IDs take over 200 KB, so some hundred users could exceed a controller's memory, as only what is written was counted.

Lists that wait count as memory of lists, and a further one gets 503 at once. The barrier, and 422 for a job that is unknown after it, are as before.

Evidence: TestAdmissionOfWaitingLists fails without it ("49 lists wait for a barrier, want 5 to 15"; the first of 50 is answered by then).

--- a/internal/api/admission.go
+++ b/internal/api/admission.go
@@ -6,10 +6,13 @@
 // seconds. Memory is freed as jobs end.
 const memoryRetryAfter = 5
 
+// bytesPerUpstreamID is the estimated memory of an ID in the list of a submission that waits.
+const bytesPerUpstreamID = 48
+
 // admit returns an *unavailableError if a new job that waits for the given number of upstream
 // jobs might not leave enough memory to the controllers.
 func (s *Server) admit(upstreamJobs, pages int) error {
-	job := pipeline.NewJob{UpstreamJobs: upstreamJobs, Pages: pages}
+	job := pipeline.NewJob{UpstreamJobs: upstreamJobs, Pages: pages, PendingBytes: bytesPerUpstreamID * s.waitingUpstreamIDs}
 	for _, p := range s.pagedSubmissions {
 		job.PendingBytes += p.pageBytes
 	}
--- a/internal/api/admission_test.go
+++ b/internal/api/admission_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"lugward/internal/pipeline"
 	"lugward/internal/record"
@@ -53,6 +54,35 @@
 	n.expect("the same job again", n.submit(id, list), 201, "queued")
 }
 
+// TestAdmissionOfWaitingLists guards against submissions that together exceed the memory while
+// they wait for a read barrier, because they name jobs that this controller has not seen.
+func TestAdmissionOfWaitingLists(t *testing.T) {
+	const submissions = 50
+	n := newControllerWith(t, newFakeStore(t), "n0", pipeline.Config{MemoryBytes: 1 << 20})
+	list := upstreamField(300)
+	conns := make([]uint64, submissions)
+	for i := range conns {
+		conns[i] = n.start("POST", "/submissions", body(1000+i, list))
+	}
+	waiting := 0
+	for _, conn := range conns {
+		if n.replies[conn].Status == 0 {
+			waiting++
+		}
+	}
+	// A list waits if those before it leave room in 0.2 MiB: 14 take 48 bytes for each of 300 IDs.
+	if waiting < 5 || waiting > 15 {
+		t.Errorf("%d lists wait for a barrier, want 5 to 15", waiting)
+	}
+	n.run(2 * time.Second)
+	for i, conn := range conns {
+		if status := n.replies[conn].Status; status != 503 && status != 422 {
+			t.Errorf("submission %d got %d, want 503 or 422", i, status)
+		}
+	}
+	n.expect("a further submission", n.submit(2000, list), 422, "")
+}
+
 // TestAdmissionByJobs checks that unfinished jobs, or all jobs that have ever ended, leave
 // memory to the controller, and that accepted jobs are answered for.
 func TestAdmissionByJobs(t *testing.T) {
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -59,6 +59,9 @@
 	// pagedSubmissions holds the active paged submissions by job ID, at most one
 	// per job.
 	pagedSubmissions map[string]*pagedSubmission
+	// waitingUpstreamIDs is the number of IDs in the lists of upstream jobs of submissions
+	// that wait for a read barrier.
+	waitingUpstreamIDs int
 }
 
 // New returns a Server for the given configuration.
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -25,18 +25,26 @@
 // replyAfterBarrier replies with a job's status after a read barrier, or with 503 if the
 // barrier fails. If the job has not been accepted, it calls replyUnknownJob, which must
 // send the reply.
-func (s *Server) replyAfterBarrier(conn uint64, id string, replyUnknownJob func(now event.Time, out *event.Effects)) {
+func (s *Server) replyAfterBarrier(conn uint64, id string, replyUnknownJob replyFunc) {
 	s.store.Barrier(func(now event.Time, err error, out *event.Effects) {
-		if err != nil {
-			out.ReplyUnavailable(conn, minRetryAfter)
-		} else if status := s.status(id); status != nil {
-			out.Reply(conn, httpwire.StatusOK, status)
-		} else {
-			replyUnknownJob(now, out)
-		}
+		s.replyWhenRead(now, err, conn, id, replyUnknownJob, out)
 	})
 }
 
+// replyFunc sends the reply to a request.
+type replyFunc func(now event.Time, out *event.Effects)
+
+// replyWhenRead sends the reply of replyAfterBarrier once the barrier has ended with err.
+func (s *Server) replyWhenRead(now event.Time, err error, conn uint64, id string, replyUnknownJob replyFunc, out *event.Effects) {
+	if err != nil {
+		out.ReplyUnavailable(conn, minRetryAfter)
+	} else if status := s.status(id); status != nil {
+		out.Reply(conn, httpwire.StatusOK, status)
+	} else {
+		replyUnknownJob(now, out)
+	}
+}
+
 // acceptedJob returns a job whose persisted record is in the local watch cache, or nil.
 func (s *Server) acceptedJob(id string) *pipeline.Job {
 	if j := s.jobs.Job(id); j != nil && j.ModRevision != 0 {
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -31,7 +31,7 @@
 	case err != nil:
 		s.rejectAfterBarrier(r.Conn, *sub.ID, err)
 	case s.checkUpstream(c.upstream) != nil:
-		s.acceptAfterBarrier(r.Conn, c)
+		s.acceptAfterBarrier(r.Conn, c, out)
 	default:
 		s.accept(now, r.Conn, c, out)
 	}
@@ -67,14 +67,22 @@
 
 // acceptAfterBarrier accepts a job if all of its upstream jobs are known after a read
 // barrier. The barrier is needed because the watch cache may lag behind the controllers
-// that accepted them.
-func (s *Server) acceptAfterBarrier(conn uint64, c *candidate) {
-	s.replyAfterBarrier(conn, c.job.ID, func(now event.Time, out *event.Effects) {
-		if err := s.checkUpstream(c.upstream); err != nil {
-			replyError(conn, err, out)
-			return
-		}
-		s.accept(now, conn, c, out)
+// that accepted them. The job waits for it only if its list does not take too much memory.
+func (s *Server) acceptAfterBarrier(conn uint64, c *candidate, out *event.Effects) {
+	if err := s.admit(len(c.upstream), 0); err != nil {
+		replyError(conn, err, out)
+		return
+	}
+	s.waitingUpstreamIDs += len(c.upstream)
+	s.store.Barrier(func(now event.Time, err error, out *event.Effects) {
+		s.waitingUpstreamIDs -= len(c.upstream)
+		s.replyWhenRead(now, err, conn, c.job.ID, func(now event.Time, out *event.Effects) {
+			if err := s.checkUpstream(c.upstream); err != nil {
+				replyError(conn, err, out)
+				return
+			}
+			s.accept(now, conn, c, out)
+		}, out)
 	})
 }
 
