--- a/internal/jsonwire/jsonwire_test.go
+++ b/internal/jsonwire/jsonwire_test.go
@@ -24,6 +24,17 @@
 	Nested   []nested        `json:"tasks"`
 	Raw      json.RawMessage `json:"data"`
 	Revision uint64          `json:"stamp"`
+	Phase    phase           `json:"phase"`
+	Fields   map[string]any  `json:"fields"`
+}
+
+// phase is decoded from text, as the phases of tasks are.
+type phase uint8
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (p *phase) UnmarshalText(text []byte) error {
+	*p = phase(len(text))
+	return nil
 }
 
 type embedded struct {
@@ -50,7 +61,7 @@
 // drawDocument draws a document with known, unknown and repeated fields, and with values of
 // right and wrong types.
 func drawDocument(t *rapid.T) string {
-	names := []string{"name_id", "shards", "cores", "stack", "flavors", "tasks", "data", "stamp", "task", "k", "pair", "other", ""}
+	names := []string{"name_id", "shards", "cores", "stack", "flavors", "tasks", "data", "stamp", "task", "k", "pair", "phase", "fields", "other", ""}
 	values := []string{"null", "0", "-1", "3", "1.5", "1e400", "18446744073709551615", "true", `""`, `"a"`, `"\u00e9\ud800"`, "\"\xff\"",
 		"[]", `["x",null]`, `["x","y","z"]`, "[1]", "{}", `{"task":"b","k":[1],"pair":["p"]}`, `[{"task":"b","k":{"k":1}},{"pair":["p","q","r"]}]`, "nul", "01"}
 	count := rapid.IntRange(0, 8).Draw(t, "fields")
@@ -118,6 +129,7 @@
 // forgetRaw removes the values of which decoding keeps unknown fields.
 func (m *message) forgetRaw() {
 	m.Raw = nil
+	m.Fields = nil
 	for i := range m.Nested {
 		m.Nested[i].Value = nil
 	}
--- a/internal/pipeline/memory_test.go
+++ b/internal/pipeline/memory_test.go
@@ -6,18 +6,10 @@
 	"runtime"
 	"testing"
 
+	"lugward/internal/heaptest"
 	"lugward/internal/record"
 )
 
-// heapBytes returns the size of the heap in use after a garbage collection.
-func heapBytes() float64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
-}
-
 // longListIDs returns IDs as users choose them, in no order.
 func longListIDs(random *rand.Rand, count int) []string {
 	ids := make([]string, count)
@@ -53,10 +45,10 @@
 	const upstreamJobs, jobs, listLength = 6000, 200, 4500
 	random := rand.New(rand.NewPCG(1, 1))
 	ids := longListIDs(random, upstreamJobs)
-	before := heapBytes()
+	before := heaptest.InUse()
 	f := newFixture()
 	f.storeLongLists(random, ids, jobs, listLength)
-	used := heapBytes() - before
+	used := heaptest.InUse() - before
 	edges := float64(jobs * listLength)
 	t.Logf("%.1f MB for %.0f jobs and %.0f edges: %.1f bytes an edge if all of it", used/1e6, float64(len(f.byID)), edges, used/edges)
 	if f.Job("req-1000000000").unfinishedUpstream != listLength {
@@ -94,11 +86,11 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			before := heapBytes()
+			before := heaptest.InUse()
 			f := newFixture()
 			c.fill(f)
 			// The status of assigned tasks in heartbeats is not part of the table.
-			used, estimate := heapBytes()-before, float64(f.EstimatedBytes()-EstimatedReportedTaskBytes*f.parts.assignments)
+			used, estimate := heaptest.InUse()-before, float64(f.EstimatedBytes()-EstimatedReportedTaskBytes*f.parts.assignments)
 			t.Logf("%.2f MB in use, estimated %.2f MB", used/1e6, estimate/1e6)
 			if estimate < used || estimate > 2*used {
 				t.Errorf("estimated %.2f MB, want at least the %.2f MB in use and at most twice that", estimate/1e6, used/1e6)
--- a/internal/simtest/controller_memory_test.go
+++ b/internal/simtest/controller_memory_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lugward/internal/config"
+	"lugward/internal/heaptest"
 )
 
 // TestMachinesAreForgotten checks that the state that controllers keep about machines grows
@@ -144,10 +145,4 @@
 const bytesPerMB = 1 << 20
 
 // heapMB returns the size of the heap in use after a garbage collection, in MiB.
-func heapMB() float64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc) / bytesPerMB
-}
+func heapMB() float64 { return heaptest.InUse() / bytesPerMB }
--- a/internal/worker/heartbeat_parser_test.go
+++ b/internal/worker/heartbeat_parser_test.go
@@ -9,6 +9,7 @@
 	"lugward/internal/jsonwire"
 	"lugward/internal/jsonwire/jsonwiretest"
 	"lugward/internal/worker"
+	"lugward/internal/worker/workertest"
 )
 
 // heartbeatBody returns the text of a heartbeat with the given text of its sequence and
@@ -128,3 +129,35 @@
 		})
 	}
 }
+
+// TestTaskStatusesAreDecoded checks the phases and causes of tasks in a heartbeat. They are
+// compared exactly, and unknown ones are accepted.
+func TestTaskStatusesAreDecoded(t *testing.T) {
+	for _, c := range []struct {
+		fields string
+		want   worker.TaskStatus // without the name; nothing if the heartbeat is rejected
+		valid  bool
+	}{
+		{`"phase":"running"`, workertest.TaskStatus("", 0, "running", ""), true},
+		{`"phase":"exited","cause":"done"`, workertest.TaskStatus("", 0, "exited", "done"), true},
+		{`"phase":"exited","cause":"unknown"`, workertest.TaskStatus("", 0, "exited", "unknown"), true},
+		{`"phase":"Running","Cause":"done"`, worker.TaskStatus{}, true},
+		{`"phase":"later","cause":"later"`, worker.TaskStatus{}, true},
+		{`"phase":null,"cause":null`, worker.TaskStatus{}, true},
+		{`"phase":"running","phase":"exited","cause":"error"`, workertest.TaskStatus("", 0, "exited", "error"), true},
+		{`"phase":3`, worker.TaskStatus{}, false},
+		{`"cause":{}`, worker.TaskStatus{}, false},
+	} {
+		body := `{"host":"i-1","addr":"a","flavor":"f","yard":"a","tenure":2,"tick":1,"fence":3,"shards":[{"shard":"",` + c.fields + `}]}`
+		heartbeat, err := worker.ParseHeartbeat([]byte(body))
+		if (err == nil) != c.valid {
+			t.Errorf("%s: error %v, want valid %t", c.fields, err, c.valid)
+		}
+		if err == nil && heartbeat.Tasks[0] != c.want {
+			t.Errorf("%s: got %+v, want %+v", c.fields, heartbeat.Tasks[0], c.want)
+		}
+	}
+	if running := workertest.TaskStatus("", 0, "running", ""); running.Phase == (worker.TaskStatus{}).Phase {
+		t.Error("the phase of a running task is that of an unknown one")
+	}
+}
--- a/internal/worker/memory_test.go
+++ b/internal/worker/memory_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"lugward/internal/heaptest"
 	"lugward/internal/pipeline"
 	"lugward/internal/worker"
 )
@@ -24,7 +25,7 @@
 		{"long names", 30, `{"shard":"req-%019d/%d","try":123456,"phase":"running","cause":null}`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			before := heapBytes()
+			before := heaptest.InUse()
 			parser := &worker.HeartbeatParser{}
 			for machine := range machines {
 				tasks := make([]string, c.tasks)
@@ -37,7 +38,7 @@
 					t.Fatalf("%s: %d tasks, %v", body, len(heartbeat.Tasks), err)
 				}
 			}
-			used := (heapBytes() - before) / float64(machines*c.tasks)
+			used := (heaptest.InUse() - before) / float64(machines*c.tasks)
 			t.Logf("%.0f bytes a task", used)
 			if estimate := float64(pipeline.EstimatedReportedTaskBytes); used > estimate || estimate > 2*used {
 				t.Errorf("%.0f bytes a task, want at most the estimated %.0f and at least half of it", used, estimate)
@@ -46,12 +47,3 @@
 		})
 	}
 }
-
-// heapBytes returns the size of the heap in use after a garbage collection.
-func heapBytes() float64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
-}
