Leave memory to important jobs

Nothing is preempted for lack of memory.

Idle jobs may fill 0.7 of each share, normal ones 0.85, high ones 0.95. For assignments the effective priority counts. The largest gang depends on its priority in the same way.

Evidence: TestUnimportantJobsLeaveMemory fails with equal shares ("no production job was accepted after less important ones had been refused"). TestAssignmentsLeaveMemory checks both bounds of assignments.

--- a/internal/api/admission.go
+++ b/internal/api/admission.go
@@ -9,10 +9,15 @@
 // bytesPerUpstreamID is the estimated memory of an ID in the list of a submission that waits.
 const bytesPerUpstreamID = 48
 
-// admit returns an *unavailableError if a new job that waits for the given number of upstream
-// jobs might not leave enough memory to the controllers.
-func (s *Server) admit(upstreamJobs, pages int) error {
-	job := pipeline.NewJob{UpstreamJobs: upstreamJobs, Pages: pages, PendingBytes: bytesPerUpstreamID * s.waitingUpstreamIDs}
+// admit returns an *unavailableError if a new job of a priority that waits for the given number of
+// upstream jobs might not leave enough memory to the controllers.
+func (s *Server) admit(priority pipeline.Priority, upstreamJobs, pages int) error {
+	job := pipeline.NewJob{
+		Priority:     priority,
+		UpstreamJobs: upstreamJobs,
+		Pages:        pages,
+		PendingBytes: bytesPerUpstreamID * s.waitingUpstreamIDs,
+	}
 	for _, p := range s.pagedSubmissions {
 		job.PendingBytes += p.pageBytes
 	}
--- a/internal/api/admission_test.go
+++ b/internal/api/admission_test.go
@@ -112,6 +112,28 @@
 	}
 }
 
+// TestUnimportantJobsLeaveMemory guards against important jobs that are refused because many
+// unimportant ones have used up the memory.
+func TestUnimportantJobsLeaveMemory(t *testing.T) {
+	n := newControllerWith(t, newFakeStore(t), "n0", pipeline.Config{MemoryBytes: 1 << 17})
+	id := 1
+	for _, priority := range []string{"idle", "normal", "high", "production"} {
+		fields := `,"rank":"` + priority + `"`
+		accepted := 0
+		for ; ; id++ {
+			reply := n.submit(id, fields)
+			if reply.Status == 503 {
+				break
+			}
+			n.expect(priority+" job", reply, 201, "queued")
+			accepted++
+		}
+		if accepted == 0 {
+			t.Errorf("no %s job was accepted after less important ones had been refused", priority)
+		}
+	}
+}
+
 // TestNamesOfRefusedJobsAreForgotten guards against controllers that run out of memory from
 // submissions that they refuse: each took the memory of its names for ever.
 func TestNamesOfRefusedJobsAreForgotten(t *testing.T) {
@@ -148,9 +170,9 @@
 // never suffices for all of their tasks, so that they never run.
 func TestGangBeyondMemory(t *testing.T) {
 	n := newControllerWith(t, newFakeStore(t), "n0", pipeline.Config{MemoryBytes: 4 << 20})
-	limit := n.jobs.MaxGangTasks()
-	if limit > n.jobs.AssignmentsLeft() {
-		t.Fatalf("a gang of %d tasks may be accepted, but only %d tasks assigned", limit, n.jobs.AssignmentsLeft())
+	limit := n.jobs.MaxGangTasks(pipeline.Normal)
+	if limit > n.jobs.AssignmentsLeft(pipeline.Normal) {
+		t.Fatalf("a gang of %d tasks may be accepted, but only %d tasks assigned", limit, n.jobs.AssignmentsLeft(pipeline.Normal))
 	}
 	gang := func(tasks int) string { return fmt.Sprintf(`,"shape":"gang","cores":0.001,"shards":%d`, tasks) }
 	n.expect("largest gang", n.submit(1, gang(limit)), 201, "queued")
--- a/internal/api/feasibility.go
+++ b/internal/api/feasibility.go
@@ -65,7 +65,7 @@
 	if err := checkTeamLimit(spec, team); err != nil {
 		return err
 	}
-	if limit := s.jobs.MaxGangTasks(); spec.IsGang() && spec.TaskCount > limit {
+	if limit := s.jobs.MaxGangTasks(spec.Priority); spec.IsGang() && spec.TaskCount > limit {
 		return infeasible(fieldTasks, spec.TaskCount, fmt.Sprintf("at most %d tasks in a gang, as the controllers keep all of them in memory", limit))
 	}
 	// Spreading over zones allows at most half of the tasks in one zone, so it needs at
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -69,7 +69,7 @@
 // barrier. The barrier is needed because the watch cache may lag behind the controllers
 // that accepted them. The job waits for it only if its list does not take too much memory.
 func (s *Server) acceptAfterBarrier(conn uint64, c *candidate, out *event.Effects) {
-	if err := s.admit(len(c.upstream), 0); err != nil {
+	if err := s.admit(c.job.Priority, len(c.upstream), 0); err != nil {
 		replyError(conn, err, out)
 		return
 	}
@@ -120,7 +120,7 @@
 	if j.Ready {
 		heldFor = 0
 	}
-	if err = s.admit(heldFor, len(pages)); err != nil {
+	if err = s.admit(j.Priority, heldFor, len(pages)); err != nil {
 		return nil, nil, err
 	}
 	if delay := s.store.QueueDelay(kv.PrioritySubmission); delay.SecondsAtTotalRate > s.cfg.RequestTimeout.Seconds() {
--- a/internal/autoscaler/scale_out.go
+++ b/internal/autoscaler/scale_out.go
@@ -148,7 +148,7 @@
 // false if the plan must not provide capacity for the job.
 func (p *plan) tasksWithinLimit(job *pipeline.Job) (tasks int, ok bool) {
 	planned := p.plannedUsage[job.Team]
-	tasks = min(job.StartableCount(), p.scheduler.TasksWithinLimitGiven(job, planned), p.scheduler.AssignmentsLeft())
+	tasks = min(job.StartableCount(), p.scheduler.TasksWithinLimitGiven(job, planned), p.scheduler.AssignmentsLeft(job))
 	if job.Shape == pipeline.Gang && tasks < job.StartableCount() {
 		return 0, false // a gang needs capacity for all of its tasks
 	}
--- a/internal/pipeline/memory.go
+++ b/internal/pipeline/memory.go
@@ -78,8 +78,15 @@
 	minAssignmentShare = 0.15
 )
 
-// memoryShare returns a share of the controller's memory, in bytes.
-func (t *Table) memoryShare(share float64) int { return int(share * float64(t.config.MemoryBytes)) }
+// memoryShareByPriority is the part of each share that jobs of a priority may fill, by priority.
+// Otherwise many unimportant jobs could use up the memory for important ones.
+var memoryShareByPriority = [...]float64{Idle: 0.7, Normal: 0.85, High: 0.95, Production: 1}
+
+// memoryShare returns the bytes of a share of the controller's memory that jobs of a priority may
+// fill.
+func (t *Table) memoryShare(share float64, priority Priority) int {
+	return int(share * memoryShareByPriority[priority] * float64(t.config.MemoryBytes))
+}
 
 // ScarceMemory names what new jobs leave no memory for.
 type ScarceMemory string
@@ -94,6 +101,7 @@
 
 // NewJob describes the memory of a job that is to be accepted.
 type NewJob struct {
+	Priority     Priority
 	UpstreamJobs int // number of upstream jobs that the job waits for
 	Pages        int // number of pages that store their IDs
 	PendingBytes int // memory of submissions in progress
@@ -108,32 +116,33 @@
 	list := job.PendingBytes + (bytesPerReference+bytesPerDependent)*job.UpstreamJobs + bytesPerPage*job.Pages
 	work := list + bytesPerJob + bytesPerSegment + EstimatedAssignmentBytes
 	switch {
-	case job.UpstreamJobs > 0 && t.EstimatedUpstreamBytes()+list > t.memoryShare(upstreamListShare):
+	case job.UpstreamJobs > 0 && t.EstimatedUpstreamBytes()+list > t.memoryShare(upstreamListShare, job.Priority):
 		return ScarceForUpstreamLists
-	case t.EstimatedUnfinishedBytes()+work > t.memoryShare(unfinishedWorkShare):
+	case t.EstimatedUnfinishedBytes()+work > t.memoryShare(unfinishedWorkShare, job.Priority):
 		return ScarceForUnfinishedJobs
-	case t.EstimatedBytes()+work > t.memoryShare(allWorkShare):
+	case t.EstimatedBytes()+work > t.memoryShare(allWorkShare, job.Priority):
 		return ScarceForAllJobs
 	}
 	return EnoughMemory
 }
 
-// MaxGangTasks returns the number of tasks of a gang for which there is always memory, apart from
-// that of other assignments.
-func (t *Table) MaxGangTasks() int {
+// MaxGangTasks returns the number of tasks of a gang of a priority for which there is always
+// memory, apart from that of other assignments.
+func (t *Table) MaxGangTasks(priority Priority) int {
 	if t.config.MemoryBytes == 0 {
 		return math.MaxInt
 	}
-	return t.memoryShare(minAssignmentShare) / EstimatedAssignmentBytes
+	return t.memoryShare(minAssignmentShare, priority) / EstimatedAssignmentBytes
 }
 
-// AssignmentsLeft returns how many more tasks may be assigned within the memory for
-// assignments.
-func (t *Table) AssignmentsLeft() int {
+// AssignmentsLeft returns how many more tasks of jobs of a priority may be assigned within the
+// memory for assignments.
+func (t *Table) AssignmentsLeft(priority Priority) int {
 	if t.config.MemoryBytes == 0 {
 		return math.MaxInt
 	}
 	other := t.EstimatedBytes() - EstimatedAssignmentBytes*t.parts.assignments
-	limit := max(t.memoryShare(minAssignmentShare), min(t.memoryShare(assignmentShare), t.memoryShare(allWorkShare)-other))
+	left := t.memoryShare(allWorkShare, Production) - other
+	limit := max(t.memoryShare(minAssignmentShare, priority), min(t.memoryShare(assignmentShare, priority), left))
 	return max(0, limit/EstimatedAssignmentBytes-t.parts.assignments)
 }
--- a/internal/scheduler/large_job_test.go
+++ b/internal/scheduler/large_job_test.go
@@ -168,21 +168,25 @@
 }
 
 // TestAssignmentsLeaveMemory checks that a round assigns no more tasks than the memory for
-// assignments allows, and does not preempt others for the rest.
+// assignments allows, and does not preempt others for the rest. Unimportant jobs leave a part of
+// it to more important ones.
 func TestAssignmentsLeaveMemory(t *testing.T) {
 	s := newClusterWith(t, pipeline.Config{MemoryBytes: 100 * pipeline.EstimatedAssignmentBytes})
-	allowed := s.AssignmentsLeft()
-	if allowed < 15 || allowed > 30 {
-		t.Fatalf("%d assignments are allowed, want 15 to 30 of the 100 that would fill the memory", allowed)
+	allowed, allowedIdle := s.jobs.AssignmentsLeft(pipeline.Production), s.jobs.AssignmentsLeft(pipeline.Idle)
+	if allowed < 15 || allowed > 30 || allowedIdle < allowed/2 || allowedIdle > allowed-2 {
+		t.Fatalf("%d assignments are allowed, %d of idle jobs, want 15 to 30 of the 100 that would fill the memory, and less for idle jobs", allowed, allowedIdle)
 	}
-	low := s.addLargeJob("req-1", allowed-2, func(j *pipeline.Job) { j.Priority = pipeline.Idle })
+	low := s.addLargeJob("req-1", allowed, func(j *pipeline.Job) { j.Priority = pipeline.Idle })
 	s.runRound()
-	high := s.addLargeJob("req-2", allowed, func(j *pipeline.Job) { j.Priority = pipeline.High })
+	if low.ActiveCount() != allowedIdle {
+		t.Errorf("%d tasks of an idle job are placed, want %d", low.ActiveCount(), allowedIdle)
+	}
+	high := s.addLargeJob("req-2", allowed, func(j *pipeline.Job) { j.Priority = pipeline.Production })
 	for range 3 {
 		s.runRound()
 	}
-	if low.ActiveCount() != allowed-2 || high.ActiveCount() != 2 || s.AssignmentsLeft() != 0 {
-		t.Errorf("%d and %d tasks are placed, %d are left; want %d, 2 and 0", low.ActiveCount(), high.ActiveCount(), s.AssignmentsLeft(), allowed-2)
+	if left := s.AssignmentsLeft(high); low.ActiveCount() != allowedIdle || high.ActiveCount() != allowed-allowedIdle || left != 0 {
+		t.Errorf("%d and %d tasks are placed, %d are left; want %d, %d and 0", low.ActiveCount(), high.ActiveCount(), left, allowedIdle, allowed-allowedIdle)
 	}
 }
 
--- a/internal/scheduler/limit.go
+++ b/internal/scheduler/limit.go
@@ -11,9 +11,11 @@
 	return s.TasksWithinLimitGiven(job, pipeline.Usage{})
 }
 
-// AssignmentsLeft returns how many more tasks may be assigned within the memory for
+// AssignmentsLeft returns how many more tasks of a job may be assigned within the memory for
 // assignments.
-func (s *Scheduler) AssignmentsLeft() int { return s.jobs.AssignmentsLeft() }
+func (s *Scheduler) AssignmentsLeft(job *pipeline.Job) int {
+	return s.jobs.AssignmentsLeft(job.EffectivePriority)
+}
 
 // TasksWithinLimitGiven returns how many more tasks of the job its team's limit allows
 // in addition to the team's usage and the resources that are reserved for the team's
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -70,7 +70,7 @@
 // scheduled.
 func (s *Scheduler) placeableTasks(job *pipeline.Job) int {
 	startable := job.StartableCount()
-	allowed := min(s.tasksWithinLimit(job), s.jobs.AssignmentsLeft())
+	allowed := min(s.tasksWithinLimit(job), s.AssignmentsLeft(job))
 	if job.Shape == pipeline.Gang && allowed < startable {
 		return 0
 	}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -18,7 +18,7 @@
 // returns the number of tasks that still need a reservation. finished is false if the round
 // has exhausted its budget before the last step.
 func (r *round) preempt(job *pipeline.Job) (remaining int, finished bool) {
-	remaining = min(job.StartableCount(), r.TasksWithinLimitGiven(job, r.reservedUsage[job.Team]), r.jobs.AssignmentsLeft())
+	remaining = min(job.StartableCount(), r.TasksWithinLimitGiven(job, r.reservedUsage[job.Team]), r.AssignmentsLeft(job))
 	if job.Shape == pipeline.Gang && remaining < job.StartableCount() {
 		return 0, true // a gang is placed as a whole or not at all
 	}
--- a/internal/simtest/controller_memory_limits_test.go
+++ b/internal/simtest/controller_memory_limits_test.go
@@ -56,7 +56,7 @@
 	}
 	run.restartMeasured()
 	run.world.Run(30 * time.Second)
-	for _, id := range withLists {
+	for _, id := range run.accepted[limitsUpstreamJobs:] {
 		if status, _ := run.world.users.Cancel(id); status != http.StatusOK {
 			t.Errorf("cancellation of job %s got %d, want 200", id, status)
 		}
