--- a/internal/scheduler/large_job_test.go
+++ b/internal/scheduler/large_job_test.go
@@ -134,36 +134,44 @@
 	}
 }
 
-// BenchmarkLargeJobRound measures rounds that place or preempt all tasks of a large job, per
-// task.
+// BenchmarkLargeJobRound measures rounds that place all tasks of a large job, or let it preempt
+// another one, per task.
 func BenchmarkLargeJobRound(b *testing.B) {
-	for _, tasks := range []int{1_000, 10_000, 100_000} {
-		reportPerTask := func(b *testing.B) {
-			b.Helper()
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(tasks), "ns/task")
+	gang := func(j *pipeline.Job) { fillLargeCluster(j); j.Shape = pipeline.Gang }
+	for _, c := range []struct {
+		name    string
+		preempt bool
+		modify  func(*pipeline.Job)
+	}{
+		{"placement", false, fillLargeCluster},
+		{"preemption", true, fillLargeCluster},
+		{"placement of a gang", false, gang},
+		{"placement of a gang in one zone", false, func(j *pipeline.Job) { gang(j); j.SameZone = true }},
+		{"preemption by a gang", true, gang},
+	} {
+		for _, tasks := range []int{1_000, 10_000, 100_000} {
+			b.Run(fmt.Sprintf("%s/tasks=%d", c.name, tasks), func(b *testing.B) {
+				for range b.N {
+					b.StopTimer()
+					s := newLargeCluster(b, tasks)
+					var low *pipeline.Job
+					if c.preempt {
+						low = s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { fillLargeCluster(j); j.Priority = pipeline.Idle })
+						s.runRound()
+					}
+					job := s.addLargeJob("req-2", tasks, func(j *pipeline.Job) { c.modify(j); j.Priority = pipeline.High })
+					b.StartTimer()
+					s.runRound()
+					if c.preempt && low.ActiveCount() > 0 {
+						b.Fatalf("%d of %d tasks remain", low.ActiveCount(), tasks)
+					}
+					if !c.preempt && job.ActiveCount() != tasks {
+						b.Fatalf("%d of %d tasks were placed", job.ActiveCount(), tasks)
+					}
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(tasks), "ns/task")
+			})
 		}
-		b.Run(fmt.Sprintf("placement/tasks=%d", tasks), func(b *testing.B) {
-			for range b.N {
-				b.StopTimer()
-				s := newLargeCluster(b, tasks)
-				s.addLargeJob("req-1", tasks, fillLargeCluster)
-				b.StartTimer()
-				s.runRound()
-			}
-			reportPerTask(b)
-		})
-		b.Run(fmt.Sprintf("preemption/tasks=%d", tasks), func(b *testing.B) {
-			for range b.N {
-				b.StopTimer()
-				s := newLargeCluster(b, tasks)
-				s.addLargeJob("req-1", tasks, func(j *pipeline.Job) { fillLargeCluster(j); j.Priority = pipeline.Idle })
-				s.runRound()
-				s.addLargeJob("req-2", tasks, func(j *pipeline.Job) { fillLargeCluster(j); j.Priority = pipeline.High })
-				b.StartTimer()
-				s.runRound()
-			}
-			reportPerTask(b)
-		})
 	}
 }
 
