Take an exit as proof only from a heartbeat of the leader's own term

A heartbeat that shows a task as exited proved the end of its attempt, whatever its fencing token. But an exit that no leader has persisted is forgotten: a later leader finds the assignment in the record, and when the worker does not list the task any more, it starts the same attempt again. If the leader changes once more and a late copy of the old heartbeat is the first one that it gets from that machine, it took the copy as proof and started the task elsewhere.

An exit without completion now counts only in a heartbeat that carries this leader's fencing token, as the absence of a task did already. Workers list an exited task until they are told to forget it, so a real exit counts with the next heartbeat. A completion is final and counts at once.

--- a/internal/simtest/random_large_jobs_test.go
+++ b/internal/simtest/random_large_jobs_test.go
@@ -30,6 +30,7 @@
 	firstFinishedJob     = 5_000
 	pendingUpstreamJobs  = 30 // upstream jobs that are submitted
 	maxLargeTasks        = 4_000
+	maxRepeatedTypes     = 200 // times that a job names the same machine types
 )
 
 // largeJobRun is a run of large jobs in one world.
@@ -83,13 +84,20 @@
 	}
 }
 
-// submitLargeJob submits an array, or rarely a gang, of many small tasks.
+// submitLargeJob submits an array, or rarely a gang, of many small tasks. It may name machine types
+// again and again, and the zones of a gang's tasks may depend on each other.
 func (run *largeJobRun) submitLargeJob() {
 	random := run.world.random
 	arguments := Arguments{"tasks": fmt.Sprint(1 + random.IntN(maxLargeTasks)), "cpus": "0.001", "memory": "0.001", "run": fmt.Sprintf("%ds", 2+random.IntN(6)),
 		"priority": []string{"idle", "normal", "high"}[random.IntN(3)]}
 	if random.IntN(4) == 0 {
 		arguments["shape"], arguments["tasks"] = shapeGang, fmt.Sprint(2+random.IntN(800))
+		if constraint := []string{"", "same_zone", "scatter"}[random.IntN(3)]; constraint != "" {
+			arguments[constraint] = ""
+		}
+	}
+	if random.IntN(4) == 0 {
+		arguments["types"] = strings.Repeat("small+big+", random.IntN(maxRepeatedTypes)) + "small"
 	}
 	run.submit(arguments)
 }
--- a/internal/worker/heartbeat.go
+++ b/internal/worker/heartbeat.go
@@ -46,5 +46,8 @@
 	return listed
 }
 
+// completed reports whether the task has exited because it has completed.
+func (t *TaskStatus) completed() bool { return t.exited() && t.Cause == causeCompleted }
+
 // exited reports whether the task has exited.
 func (t *TaskStatus) exited() bool { return pipeline.TaskPhase(t.Phase) == pipeline.TaskExited }
--- a/internal/worker/heartbeat_handling.go
+++ b/internal/worker/heartbeat_handling.go
@@ -21,8 +21,9 @@
 	}
 	leadership.RecordFencingToken(heartbeat.FencingToken)
 	r.updateMachine(machine, heartbeat, now)
+	tokenConfirmed := heartbeat.FencingToken == leadership.FencingToken()
 	for i := range heartbeat.Tasks {
-		r.handleTaskStatus(machine, &heartbeat.Tasks[i], now)
+		r.handleTaskStatus(machine, &heartbeat.Tasks[i], tokenConfirmed, now)
 	}
 	// The tasks are handled before the check whether responses arrive: a task that this
 	// heartbeat lists is on the machine, even if a copied heartbeat that arrived earlier
--- a/internal/worker/heartbeat_handling_test.go
+++ b/internal/worker/heartbeat_handling_test.go
@@ -88,3 +88,40 @@
 		t.Errorf("HandleHeartbeat made %v allocations, want 0", allocations)
 	}
 }
+
+// TestExitInAnEarlierTermProvesNothing guards against tasks that execute on two machines: a late
+// copy of a heartbeat of an earlier term showed a task as exited whose attempt a later leader had
+// started again on the same machine. A completion is final in any term.
+func TestExitInAnEarlierTermProvesNothing(t *testing.T) {
+	for _, test := range []struct {
+		cause              string
+		token              uint64
+		terminated, exited bool
+	}{
+		{"halted", workertest.FencingToken - 1, false, false},
+		{"error", workertest.FencingToken - 1, false, false},
+		{"halted", workertest.FencingToken, true, true},
+		{"done", workertest.FencingToken - 1, false, true},
+	} {
+		c := newCluster(0)
+		job := c.submit("req-1", pipeline.Array, 2)
+		c.start(job, 0, "i-1")
+		assignment := job.Assignment(0)
+		heartbeat := workertest.Heartbeat("i-1", c.now)
+		heartbeat.Sequence++
+		heartbeat.FencingToken = test.token
+		heartbeat.Tasks = []worker.TaskStatus{workertest.TaskStatus("req-1/0", assignment.Attempt, "exited", test.cause)}
+		if err := c.HandleHeartbeat(heartbeat, c.now, leader); err != nil {
+			t.Fatal(err)
+		}
+		if terminated := assignment.Pending() == pipeline.PendingClear; terminated != test.terminated {
+			t.Errorf("%s with token %d: terminated = %t, want %t", test.cause, test.token, terminated, test.terminated)
+		}
+		if exited := assignment.Phase() == pipeline.TaskExited; exited != test.exited {
+			t.Errorf("%s with token %d: exited = %t, want %t", test.cause, test.token, exited, test.exited)
+		}
+		for _, command := range c.Commands(heartbeat, c.now, leader) {
+			t.Errorf("%s with token %d: got command %s, want none", test.cause, test.token, command.Verb)
+		}
+	}
+}
--- a/internal/worker/task_status.go
+++ b/internal/worker/task_status.go
@@ -42,16 +42,23 @@
 // newCompletion reports whether a reported task without an assignment has completed and
 // the completion is not recorded yet. The result is valid for any attempt of the task.
 func (t *reportedTask) newCompletion() bool {
-	if !t.exited() || t.Cause != causeCompleted || t.job == nil {
+	if !t.completed() || t.job == nil {
 		return false
 	}
 	return t.job.TerminalPhase == pipeline.Queued && !t.job.IsDone(t.number)
 }
 
-// handleTaskStatus handles the status of a task in a heartbeat.
-func (r *Registry) handleTaskStatus(machine *Machine, status *TaskStatus, now event.Time) {
+// handleTaskStatus handles the status of a task in a heartbeat. tokenConfirmed means that the
+// heartbeat carries this leader's fencing token.
+//
+// A heartbeat without that token may be a late copy of one from an earlier term. An exit that it
+// shows may not have been persisted, and a later leader may have started the same attempt again
+// since. So it does not prove that the attempt has terminated, unless the task has completed, which
+// is final. The worker lists the exited task again in its next heartbeat.
+func (r *Registry) handleTaskStatus(machine *Machine, status *TaskStatus, tokenConfirmed bool, now event.Time) {
 	task := r.resolveTask(machine, status)
 	switch {
+	case task.assignment != nil && task.exited() && !task.completed() && !tokenConfirmed:
 	case task.assignment != nil:
 		r.updateAssignment(machine, task.assignment, status, now)
 	case task.newCompletion():
