--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -65,9 +65,9 @@
 }
 
 // placeableTasks returns how many tasks of a job may be placed within its team's limit and
-// the memory for assignments: for a gang, all of them or none. Tasks of a gang's current attempt stay where they are.
-// While tasks of an older attempt remain, the gang is being terminated and is not
-// scheduled.
+// the memory for assignments: for a gang, all of them or none. Tasks of a gang's current attempt
+// stay where they are. While tasks of an older attempt remain, the gang is being terminated and
+// is not scheduled.
 func (s *Scheduler) placeableTasks(job *pipeline.Job) int {
 	startable := job.StartableCount()
 	allowed := min(s.tasksWithinLimit(job), s.AssignmentsLeft(job))
--- a/internal/scheduler/preemption_victims.go
+++ b/internal/scheduler/preemption_victims.go
@@ -40,8 +40,8 @@
 	*round
 	job *pipeline.Job
 	// queues holds the candidates of machines, at least of those from which victims have
-	// been claimed, cheapest first, without those at the head that are claimed or evicted since. Sorting
-	// them again for each slot would cost the square of a machine's tasks.
+	// been claimed, cheapest first, without those at the head that are claimed or evicted
+	// since. Sorting them again for each slot would cost the square of a machine's tasks.
 	queues map[pipeline.MachineIndex][]victimCandidate
 	// severalSteps means that more slots will be searched than in one step, so that the
 	// candidates of all machines are kept.
