--- a/review/standin3/cloud.go
+++ b/review/standin3/cloud.go
@@ -57,6 +57,7 @@
 	rentals  map[string]int  // requests to rent, by zone
 	soldOut  map[string]bool // zones without capacity
 	requests bucket
+	gangs    gangs
 	// onTask is called when a task starts on a machine or leaves it.
 	onTask func(event, machine, task string, try uint64)
 	// onOrder is called for each command in the answer to a report, with the time at which the
@@ -80,6 +81,7 @@
 		t.Yards = c.cfg.zones
 		cl.types = append(cl.types, t)
 	}
+	cl.gangs.tasks = map[string]map[string]bool{}
 	cl.last.Store(firstMachine)
 	cl.requests.rate = c.cfg.cloudRPS
 	go func() { _ = http.Serve(listener, cl) }()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -8,9 +8,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// maxDuration leaves time to build the stand-in within the 120 s of a script.
+const maxDuration = 112 * time.Second
+
 const (
 	held     = 0
 	broken   = 1
@@ -56,5 +62,17 @@
 		rec.say("could not run: %v", err)
 		return couldNot
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-interrupted:
+			rec.say("could not run: interrupted")
+		case <-time.After(maxDuration):
+			rec.say("could not run: it took longer than %v", maxDuration)
+		}
+		_ = os.RemoveAll(dir)
+		os.Exit(couldNot) // the controllers end with this process
+	}()
 	return play(&run{trouble: os.Getenv("TROUBLE") != "0", rec: rec, dir: dir, program: program})
 }
