Review: a gang starves at the limit of its team

Cause: a gang is placed only when the team's limit leaves room for all of its tasks, and nothing of the limit is kept for it. Jobs of the team that became ready later take each part that becomes free.

Change: case 12 has arrays of a team come several times as often while a gang waits that became ready before them.

--- a/review/standin3/case12.go
+++ b/review/standin3/case12.go
@@ -1,57 +1,102 @@
 package main
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+)
 
 func init() { cases["12"] = playCase12 }
 
-// waitBesideLimit is how long the test waits for the start of the second job.
-const waitBesideLimit = 95 * time.Second
+const (
+	// waitBesideStream is how long the test waits for the start of the gang.
+	waitBesideStream = 75 * time.Second
+	// The arrays of the class come 3 a minute, with around 7 tasks, and with the trouble 12 a minute,
+	// with up to 36 tasks.
+	usualInterval, usualTasks     = 20 * time.Second, 7
+	troubleInterval, troubleTasks = 5 * time.Second, 36
+)
 
-// playCase12 submits two jobs of a team that has a limit, each bound to a zone, while the cloud has
-// no capacity in the zone of the first. No task of the team runs, so the second job must get a
-// machine in its own zone.
+// playCase12 submits a gang that needs three quarters of its team's limit while a part of the limit is
+// in use, and then arrays of the same team, several times as often as usual. The gang became ready
+// before them, so it must start once the tasks that ran before it have ended.
 func playCase12(r *run) int {
 	cfg := dispensa()
-	cfg.types = append(cfg.types, machineType{"condor", 32, 4, 192, 50, 0.5, 12.37, 5.24, 45, nil})
+	cfg.teams = append(cfg.teams, map[string]any{"name": "comercial", "cpus": 0, "cpus_max": 0, "gpus": 8, "gpus_max": 32})
+	cfg.types = []machineType{{"condor", 32, 4, 192, 50, 0.5, 12.37, 5.24, 45, nil}}
 	c, err := newCluster(cfg, r.rec, r.dir, r.program)
 	if err != nil {
 		r.rec.say("could not run: %v", err)
 		return couldNot
 	}
 	defer c.stop()
-	c.cloud.boot = 27 * time.Second
-	full, open := c.cfg.zones[0], c.cfg.zones[1]
-	c.cloud.soldOut[full] = r.trouble
+	c.cloud.boot = 2 * time.Second
+	array := func(id string, tasks int) *job {
+		j := newJob(id)
+		j.JobClass, j.Owner, j.Shards, j.Expect, j.runFor = "demanda", "comercial", tasks, 70, 20*time.Second
+		j.Cores, j.Cards, j.RAM = 6, 1, 36
+		return j
+	}
+	first, gang := array("req-000001", 12), array("req-000002", 12)
+	gang.JobClass, gang.Shape, gang.Cores, gang.Cards, gang.RAM = "rutas", "gang", 12, 2, 60
+	gang.runFor = 5 * time.Second
+	var streamStarts, gangStarts atomic.Int64
+	c.cloud.onTask = func(event, _, task string, _ uint64) {
+		switch {
+		case event != "start" || strings.HasPrefix(task, first.NameID):
+		case strings.HasPrefix(task, gang.NameID):
+			gangStarts.Add(1)
+		default:
+			streamStarts.Add(1)
+		}
+	}
 	if !c.startAll() {
 		return couldNot
 	}
-	time.Sleep(3 * time.Second)
-	waits, runs := newJob("req-000001"), newJob("req-000002")
-	for _, j := range []*job{waits, runs} {
-		j.JobClass, j.Owner, j.Expect, j.runFor = "demanda", "flota", 70, 8*time.Second
-		j.Cores, j.Cards, j.RAM = 6, 1, 36
+	if !c.submitAccepted(0, first) || !c.waitStarted(first, 30*time.Second) {
+		r.rec.say("could not run: the first job does not run")
+		return couldNot
 	}
-	waits.Shards = 50 // the team's limit: 50 GPUs
-	waits.Yard, runs.Yard = &full, &open
-	for _, j := range []*job{waits, runs} {
-		if !c.submitAccepted(0, j) {
-			r.rec.say("could not run: a job was not accepted")
-			return couldNot
+	if !c.submitAccepted(1, gang) {
+		r.rec.say("could not run: the gang was not accepted")
+		return couldNot
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	interval, tasks := usualInterval, usualTasks
+	if r.trouble {
+		interval, tasks = troubleInterval, troubleTasks
+	}
+	go func() {
+		for i := 0; ; i++ {
+			c.submit(i%len(c.nodes), array(fmt.Sprintf("req-%06d", 100+i), tasks))
+			select {
+			case <-ended:
+				return
+			case <-time.After(interval):
+			}
 		}
+	}()
+	if !c.waitPhase(0, first.NameID, "done", 30*time.Second) {
+		r.rec.say("could not run: the first job is not done")
+		return couldNot
 	}
+	before := streamStarts.Load()
 	began := time.Now()
-	if c.waitPhase(1, runs.NameID, "done", waitBesideLimit) {
-		r.rec.say("the job in %s is done after %.0f s", open, time.Since(began).Seconds())
-		return held
+	for time.Since(began) < waitBesideStream && gangStarts.Load() == 0 {
+		time.Sleep(100 * time.Millisecond)
 	}
-	asked := c.cloud.rentRequests(open)
-	r.rec.say("requests to rent: %d in %s, which has no capacity, and %d in %s", c.cloud.rentRequests(full), full, asked, open)
-	if asked > 0 {
-		r.rec.say("the job is not done, but a machine was asked for")
+	later := streamStarts.Load() - before
+	r.rec.say("%.0f s after the first job was done: %d tasks of the gang have started, and %d tasks of later jobs in that time",
+		time.Since(began).Seconds(), gangStarts.Load(), later)
+	switch {
+	case gangStarts.Load() > 0:
 		return held
+	case later < troubleTasks:
+		r.rec.say("could not run: only %d tasks of later jobs have started", later)
+		return couldNot
 	}
-	_, phase := c.poll(0, runs.NameID)
-	r.rec.say("broken: an accepted job does not run: %s is %s, no task of its team runs, and in %v no machine was asked for in %s",
-		runs.NameID, phase, waitBesideLimit, open)
+	r.rec.say("broken: an accepted job does not run: the tasks of jobs that became ready later start in its place")
 	return broken
 }
