--- a/review/standin3/case12.go
+++ b/review/standin3/case12.go
@@ -12,10 +12,12 @@
 const (
 	// waitBesideStream is how long the test waits for the start of the gang.
 	waitBesideStream = 75 * time.Second
-	// The arrays of the class come 3 a minute, with around 7 tasks, and with the trouble 12 a minute,
-	// with up to 36 tasks.
-	usualInterval, usualTasks     = 20 * time.Second, 7
-	troubleInterval, troubleTasks = 5 * time.Second, 36
+	// The arrays of the class come 3 a minute, and with the trouble 12 a minute.
+	usualInterval   = 20 * time.Second
+	troubleInterval = 5 * time.Second
+	arrayTasks      = 7
+	// The gang needs 24 GPUs.
+	gangTasks, gangCards = 12, 2
 )
 
 // playCase12 submits a gang that needs three quarters of its team's limit while a part of the limit is
@@ -38,8 +40,8 @@
 		j.Cores, j.Cards, j.RAM = 6, 1, 36
 		return j
 	}
-	first, gang := array("req-000001", 12), array("req-000002", 12)
-	gang.JobClass, gang.Shape, gang.Cores, gang.Cards, gang.RAM = "rutas", "gang", 12, 2, 60
+	first, gang := array("req-000001", 12), array("req-000002", gangTasks)
+	gang.JobClass, gang.Shape, gang.Cores, gang.Cards, gang.RAM = "rutas", "gang", 12, gangCards, 60
 	gang.runFor = 5 * time.Second
 	var streamStarts, gangStarts atomic.Int64
 	c.cloud.onTask = func(event, _, task string, _ uint64) {
@@ -64,13 +66,13 @@
 	}
 	ended := make(chan struct{})
 	defer close(ended)
-	interval, tasks := usualInterval, usualTasks
+	interval := usualInterval
 	if r.trouble {
-		interval, tasks = troubleInterval, troubleTasks
+		interval = troubleInterval
 	}
 	go func() {
 		for i := 0; ; i++ {
-			c.submit(i%len(c.nodes), array(fmt.Sprintf("req-%06d", 100+i), tasks))
+			c.submit(i%len(c.nodes), array(fmt.Sprintf("req-%06d", 100+i), arrayTasks))
 			select {
 			case <-ended:
 				return
@@ -93,7 +95,7 @@
 	switch {
 	case gangStarts.Load() > 0:
 		return held
-	case later < troubleTasks:
+	case later < gangTasks*gangCards:
 		r.rec.say("could not run: only %d tasks of later jobs have started", later)
 		return couldNot
 	}
