Log start commands with the age of the leader's view

Change: `starting tasks` (debug) has the machine, the number of starts, whether the response is relayed, how long the heartbeat waited, the age of the view and the time left of the lease.

--- a/internal/controller/worker_answers.go
+++ b/internal/controller/worker_answers.go
@@ -78,6 +78,22 @@
 	if commands == nil {
 		commands = []worker.Command{} // the protocol requires a list, not null
 	}
+	c.logStarts(pending, commands, now)
 	body := c.encode(heartbeatResponse{FencingToken: c.election.FencingToken(), Commands: commands})
 	c.respond(pending.replyTo, httpwire.StatusOK, body, out)
 }
+
+// logStarts logs the start commands of a response with the age of the data on which they were
+// decided, and the time for which the leader's lease is still guaranteed to be valid.
+func (c *Controller) logStarts(pending *pendingHeartbeat, commands []worker.Command, now event.Time) {
+	starts := 0
+	for i := range commands {
+		if commands[i].IsStart() {
+			starts++
+		}
+	}
+	if starts > 0 {
+		c.log.Debug("starting tasks", "machine", pending.heartbeat.Machine, "tasks", starts, "relayed", pending.replyTo.relayed(),
+			"waited", now-pending.receivedAt, "view_age", now-c.store.FreshUntil(), "lease_left", c.election.LeaseLeft(now))
+	}
+}
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"lugward/internal/event"
 	"lugward/internal/kv"
@@ -61,6 +62,10 @@
 	return e.cacheCaughtUp() && e.withinTermOrGrace(now)
 }
 
+// LeaseLeft returns how long the lease of this controller's term is still guaranteed to be
+// valid. It is negative in the grace period.
+func (e *Election) LeaseLeft(now event.Time) time.Duration { return e.term.validUntil - now }
+
 // cacheCaughtUp reports whether this controller holds a term and its cache contains
 // everything up to the beginning of that term. Without this check, a controller that
 // replaces its own term from before a restart, or that has just read all keys page by
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -10,6 +10,9 @@
 	return Command{Verb: verbStart, Task: taskName(assignment), Attempt: assignment.Attempt}
 }
 
+// IsStart reports whether the command starts a task.
+func (c *Command) IsStart() bool { return c.Verb == verbStart }
+
 // terminateCommand returns the command to terminate a task. The task has gracePeriod
 // seconds to save a checkpoint.
 func terminateCommand(task string, attempt uint64, gracePeriod float64) Command {
