Give no start command after a confirmed cancellation

Cause: a controller confirmed a cancellation as soon as it was written, and the leader gave start commands as long as its lease was valid, whatever the age of its view. The lease lasts 3.8 s after a renewal; a leader that the state service refuses, whose reads alone get no response, that stood still, or whose watch has not returned yet does not know of the cancellation.

Fix, on both sides. The leader gives start commands only while its view is younger than 1.5 s; the heartbeat that a start waits for is held until the watch cache is refreshed. An answer that reports a job as cancelled is held until no start command can be given that does not take it into account: this controller leads, a leader has shown that it knows of the cancellation (a new frame, or its term key), or 1.6 s have passed, 4.1 s beside a leader of an earlier version or without a known one.

Neither side is enough alone: a read before each start leaves the time until the response, and a confirmation that waits for the end of the lease is slow and wrong for a leader that renews it without reading.

Tests: the checker judges every start command that a controller gives after a confirmation, at the step that decides it, and each one that a worker executes later than it can have been in flight.

Changed tests: TestCheckerCounts gives the second start's command before the acknowledgement, which is the case that is still allowed.

--- a/internal/api/cancel.go
+++ b/internal/api/cancel.go
@@ -23,8 +23,7 @@
 // cancellation or otherwise. The write requires that no terminal record exists, so a job
 // ends exactly once.
 func (s *Server) cancel(now event.Time, c cancellation, out *event.Effects) {
-	if status := s.terminalStatus(c.id); status != nil {
-		out.Reply(c.conn, httpwire.StatusOK, status)
+	if s.replyIfEnded(now, c.conn, httpwire.StatusOK, c.id, out) {
 		return
 	}
 	if s.storeUnavailable(now) || c.retries >= maxCancelRetries {
@@ -72,7 +71,7 @@
 		switch {
 		case err != nil:
 			out.ReplyUnavailable(c.conn, minRetryAfter)
-		case s.status(c.id) == nil:
+		case !s.known(c.id):
 			out.Reply(c.conn, httpwire.StatusNotFound, nil)
 		default:
 			s.retryCancel(now, c, out)
--- a/internal/api/fixture_test.go
+++ b/internal/api/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -27,8 +28,15 @@
 	now     event.Time
 	conn    uint64
 	replies map[uint64]event.Reply
+
+	startViews fakeStartViews
 }
 
+// fakeStartViews is the knowledge of a leader that knows every change unless it is behind.
+type fakeStartViews struct{ behind bool }
+
+func (f *fakeStartViews) StartsInclude(uint64, event.Time, event.Time) bool { return !f.behind }
+
 func newController(t *testing.T, s *fakeStore, label string) *testController {
 	t.Helper()
 	return newControllerWith(t, s, label, pipeline.Config{})
@@ -47,6 +55,9 @@
 	onChange := func(key string, data []byte, modRevision uint64) {
 		kind, rest := kv.SplitKey(key)
 		n.jobs.HandleChange(record.Kind(kind), rest, data, modRevision)
+		if terminal, _ := n.jobs.Terminal.Get(rest); kind == string(record.KindTerminal) && terminal.Phase == pipeline.Cancelled {
+			n.server.RecordCancellation(rest, modRevision, n.now)
+		}
 	}
 	n.client = kv.New(kv.Config{Addr: "s", Limits: limits, StaleAfter: time.Hour, OnChange: onChange})
 	machineTypes := &scheduler.MachineTypes{{Index: names.MachineTypes.Index("m"), CPUs: 8, Memory: 32, Zones: []pipeline.ZoneIndex{0}}}
@@ -60,6 +71,8 @@
 		Jobs:           n.jobs,
 		Store:          n.client,
 		MachineTypes:   machineTypes,
+		StartViews:     &n.startViews,
+		Logger:         slog.New(slog.DiscardHandler),
 	})
 	n.run(time.Second)
 	n.client.Barrier(func(event.Time, error, *event.Effects) {})
--- a/internal/api/paged_submission.go
+++ b/internal/api/paged_submission.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"lugward/internal/event"
-	"lugward/internal/httpwire"
 	"lugward/internal/kv"
 	"lugward/internal/pipeline"
 	"lugward/internal/record"
@@ -129,7 +128,7 @@
 	s.writeWithRetries(now, p, write, func(r kv.Result) {
 		s.finish(p)
 		if !p.replied {
-			r.Out.Reply(p.conn, httpwire.StatusCreated, s.newJobStatus(p.job.ID))
+			s.replyAccepted(r.Now, p.conn, p.job.ID, r.Out)
 		}
 	})
 }
@@ -181,10 +180,10 @@
 	}
 }
 
-// Tick replies with 503 to paged submissions that exceed the request timeout and ends
-// those that exceed pagedSubmissionTimeout. A submission continues after the 503, so the
+// expirePagedSubmissions replies with 503 to paged submissions that exceed the request timeout and
+// ends those that exceed pagedSubmissionTimeout. A submission continues after the 503, so the
 // user's retry finds the job.
-func (s *Server) Tick(now event.Time, out *event.Effects) {
+func (s *Server) expirePagedSubmissions(now event.Time, out *event.Effects) {
 	for _, id := range slices.Sorted(maps.Keys(s.pagedSubmissions)) {
 		p := s.pagedSubmissions[id]
 		age := now - p.startedAt
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -3,13 +3,15 @@
 // Two rules hold for every response. A job is reported as accepted or cancelled only
 // after that state has been persisted. A response never reports older state than an
 // earlier response of any controller. A status that is not terminal is therefore sent only
-// after a read barrier, or after the write that accepts the job has been committed.
+// after a read barrier, or after the write that accepts the job has been committed. A job is
+// reported as cancelled only when no controller can command the start of its tasks any more.
 //
 // Requests that cannot be decided now get 503 with Retry-After. Submissions and
 // cancellations are idempotent, so a client may retry them until it gets a response.
 package api
 
 import (
+	"log/slog"
 	"strings"
 	"time"
 
@@ -34,6 +36,8 @@
 	Jobs         *pipeline.Table
 	Store        *kv.Client
 	MachineTypes *scheduler.MachineTypes // empty until the cloud has returned its machine types
+	StartViews   StartViews
+	Logger       *slog.Logger
 }
 
 const (
@@ -62,6 +66,7 @@
 	// waitingUpstreamIDs is the number of IDs in the lists of upstream jobs of submissions
 	// that wait for a read barrier.
 	waitingUpstreamIDs int
+	cancelled          cancelledAnswers
 }
 
 // New returns a Server for the given configuration.
@@ -74,6 +79,7 @@
 		machineTypes:     cfg.MachineTypes,
 		teams:            map[string]config.Team{},
 		pagedSubmissions: map[string]*pagedSubmission{},
+		cancelled:        newCancelledAnswers(cfg.StartViews, cfg.Logger),
 	}
 	for _, team := range cfg.Teams {
 		s.teams[team.Name] = team
@@ -107,6 +113,12 @@
 	return true
 }
 
+// Tick sends the answers that are due. It must be called several times a second.
+func (s *Server) Tick(now event.Time, out *event.Effects) {
+	s.expirePagedSubmissions(now, out)
+	s.ReleaseAnswers(now, out)
+}
+
 // storeUnavailable reports whether requests that need the state service are rejected
 // immediately instead of waiting until they time out.
 func (s *Server) storeUnavailable(now event.Time) bool {
--- a/internal/api/submit.go
+++ b/internal/api/submit.go
@@ -41,8 +41,7 @@
 // replies to any other submission with 503 while the state service is unavailable. It
 // reports whether it has handled the submission.
 func (s *Server) replyToRepeat(now event.Time, conn uint64, id string, out *event.Effects) bool {
-	if status := s.terminalStatus(id); status != nil {
-		out.Reply(conn, httpwire.StatusOK, status)
+	if s.replyIfEnded(now, conn, httpwire.StatusOK, id, out) {
 		return true
 	}
 	if s.storeUnavailable(now) {
@@ -158,7 +157,7 @@
 		Done: func(r kv.Result) {
 			switch r.Outcome {
 			case kv.Committed:
-				r.Out.Reply(conn, httpwire.StatusCreated, s.newJobStatus(id))
+				s.replyAccepted(r.Now, conn, id, r.Out)
 			case kv.Aborted, kv.Rejected:
 				replyError(conn, s.backlogError(), r.Out)
 			default:
--- a/internal/controller/build.go
+++ b/internal/controller/build.go
@@ -174,6 +174,8 @@
 		Jobs:           c.jobs,
 		Store:          c.store,
 		MachineTypes:   c.autoscaler.MachineTypes(),
+		StartViews:     c.election,
+		Logger:         c.log,
 	})
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,6 +35,7 @@
 	api        *api.Server
 
 	leadership   leadership
+	leaderView   leaderView
 	peers        peerTable
 	heartbeats   workerHeartbeats
 	forwarding   forwarding
@@ -51,6 +52,8 @@
 		c.election.HandleChange(key, data, modRevision)
 	case autoscaler.MachineTypesKeyPrefix, autoscaler.DecommissionKeyPrefix:
 		c.autoscaler.HandleChange(kind, rest, data)
+	case string(record.KindTerminal):
+		c.handleTerminalChange(rest, data, modRevision)
 	default:
 		c.jobs.HandleChange(record.Kind(kind), rest, data, modRevision)
 	}
--- a/internal/controller/inputs.go
+++ b/internal/controller/inputs.go
@@ -64,6 +64,7 @@
 func (c *Controller) handleStateResponse(now event.Time, out *event.Effects) {
 	c.updateLeadership(now, out)
 	c.runLeaderWork(now, out)
+	c.announceViewIfNeeded(now, out)
 	c.answerHeartbeats(now, out)
 }
 
@@ -91,5 +92,7 @@
 		c.handleRelayedHeartbeat(now, from, frame, out)
 	case peer.RelayAck:
 		c.handleRelayAck(frame, out)
+	case peer.View:
+		c.handleLeaderView(now, frame, out)
 	}
 }
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -130,6 +130,7 @@
 	for i := range c.peers.list {
 		out.SendFrame(i, data)
 	}
+	c.announceView(now, out) // repeats it, as a frame may be lost
 }
 
 // saturate converts a rate to the 16-bit field of a frame. Larger rates become the
--- a/internal/controller/pending_heartbeats.go
+++ b/internal/controller/pending_heartbeats.go
@@ -14,14 +14,16 @@
 	// the resulting changes are persisted. A write takes milliseconds; the response does
 	// not wait for slower writes.
 	heartbeatResponseTimeout = 400 * time.Millisecond
-	// idleHeartbeatResponseTimeout is how long the response to the heartbeat of a
-	// machine without tasks waits. The state of such a machine cannot change, and a task
-	// that is assigned to it meanwhile starts with this response instead of the next one.
-	// The timeout is below the 4 s that the worker waits for a response.
-	idleHeartbeatResponseTimeout = 2500 * time.Millisecond
-	// idleSocketDivisor limits the pending heartbeats of idle machines to 1/4 of all
-	// sockets, because other machines may need the rest.
-	idleSocketDivisor = 4
+	// extendedResponseTimeout is how long the response to the heartbeat of a machine
+	// waits if it may soon start a task. The state of a machine without tasks cannot
+	// change, and a task that is assigned to it meanwhile starts with this response
+	// instead of the next one. The same holds for a task that is only waiting until the
+	// watch cache has been refreshed. The timeout is below the 4 s that the worker waits
+	// for a response.
+	extendedResponseTimeout = 2500 * time.Millisecond
+	// extendedSocketDivisor limits the pending heartbeats with the extended timeout to 1/4
+	// of all sockets, because other machines may need the rest.
+	extendedSocketDivisor = 4
 )
 
 // pendingHeartbeat is a worker's heartbeat that has been handled but not answered yet.
@@ -30,7 +32,7 @@
 	heartbeat  *worker.Heartbeat
 	machine    pipeline.MachineIndex
 	receivedAt event.Time
-	idle       bool // the machine is idle, so the response may wait for idleHeartbeatResponseTimeout
+	extended   bool // the response may wait for extendedResponseTimeout
 	answered   bool
 }
 
@@ -41,17 +43,18 @@
 type pendingHeartbeats struct {
 	byMachine map[pipeline.MachineIndex]*pendingHeartbeat
 	// Queues in the order of arrival, oldest first. A heartbeat that has been answered
-	// or has moved to idleQueue is removed from a queue only when it reaches the head.
+	// or has moved to extendedQueue is removed from a queue only when it reaches the head.
 	queue             []*pendingHeartbeat     // due after heartbeatResponseTimeout
-	idleQueue         []*pendingHeartbeat     // due after idleHeartbeatResponseTimeout
-	idleCount         int                     // unanswered heartbeats in idleQueue
-	idleLimit         int                     // maximum of idleCount, which leaves sockets for other machines
+	extendedQueue     []*pendingHeartbeat     // due after extendedResponseTimeout
+	extendedCount     int                     // unanswered heartbeats in extendedQueue
+	extendedLimit     int                     // maximum of extendedCount, which leaves sockets for other machines
 	toCheck           []pipeline.MachineIndex // machines whose heartbeats have to be checked
+	awaitingView      []pipeline.MachineIndex // machines whose heartbeats have to be checked once tasks may be started
 	roundWasRequested bool                    // whether a scheduling round was requested at the last check
 }
 
-func newPendingHeartbeats(idleLimit int) pendingHeartbeats {
-	return pendingHeartbeats{byMachine: map[pipeline.MachineIndex]*pendingHeartbeat{}, idleLimit: idleLimit}
+func newPendingHeartbeats(extendedLimit int) pendingHeartbeats {
+	return pendingHeartbeats{byMachine: map[pipeline.MachineIndex]*pendingHeartbeat{}, extendedLimit: extendedLimit}
 }
 
 // add adds a heartbeat. If an earlier heartbeat of the same machine is still pending, it
@@ -78,23 +81,37 @@
 // markAnswered marks a heartbeat as answered, so that it is no longer pending.
 func (p *pendingHeartbeats) markAnswered(pending *pendingHeartbeat) {
 	pending.answered = true
-	if pending.idle {
-		p.idleCount--
+	if pending.extended {
+		p.extendedCount--
 	}
 	if p.byMachine[pending.machine] == pending {
 		delete(p.byMachine, pending.machine)
 	}
 }
 
-// markIdle marks the machine of a heartbeat as idle and extends the heartbeat's timeout
-// to idleHeartbeatResponseTimeout.
-func (p *pendingHeartbeats) markIdle(pending *pendingHeartbeat) {
-	if pending.idle {
+// extend extends the timeout of a heartbeat to extendedResponseTimeout.
+func (p *pendingHeartbeats) extend(pending *pendingHeartbeat) {
+	if pending.extended {
 		return
 	}
-	pending.idle = true
-	p.idleCount++
-	p.idleQueue = append(p.idleQueue, pending)
+	pending.extended = true
+	p.extendedCount++
+	p.extendedQueue = append(p.extendedQueue, pending)
+}
+
+// awaitView extends the timeout of a heartbeat, which has to be checked again once tasks may be
+// started.
+func (p *pendingHeartbeats) awaitView(pending *pendingHeartbeat) {
+	p.extend(pending)
+	p.awaitingView = append(p.awaitingView, pending.machine)
+}
+
+// drainAwaitingView returns the machines whose heartbeats wait until tasks may be started, and
+// clears the list.
+func (p *pendingHeartbeats) drainAwaitingView() []pipeline.MachineIndex {
+	machines := p.awaitingView
+	p.awaitingView = nil
+	return machines
 }
 
 // drainToCheck returns the machines whose heartbeats have to be checked, and clears the
@@ -122,7 +139,7 @@
 }
 
 // nextOverdue returns the oldest heartbeat that has waited for heartbeatResponseTimeout
-// and is not marked as idle, or nil if there is none.
+// and whose timeout is not extended, or nil if there is none.
 func (p *pendingHeartbeats) nextOverdue(now event.Time) *pendingHeartbeat {
 	oldest := trimHead(&p.queue, (*pendingHeartbeat).belongsInQueue)
 	if oldest == nil || now-oldest.receivedAt < heartbeatResponseTimeout {
@@ -131,15 +148,14 @@
 	return oldest
 }
 
-// nextOverdueIdle returns the oldest heartbeat of an idle machine if it has waited for
-// idleHeartbeatResponseTimeout or if the number of idle heartbeats exceeds idleLimit. It
-// returns nil otherwise.
-func (p *pendingHeartbeats) nextOverdueIdle(now event.Time) *pendingHeartbeat {
-	oldest := trimHead(&p.idleQueue, (*pendingHeartbeat).isUnanswered)
+// nextOverdueExtended returns the oldest heartbeat with the extended timeout if that has passed
+// or if there are more such heartbeats than extendedLimit. It returns nil otherwise.
+func (p *pendingHeartbeats) nextOverdueExtended(now event.Time) *pendingHeartbeat {
+	oldest := trimHead(&p.extendedQueue, (*pendingHeartbeat).isUnanswered)
 	if oldest == nil {
 		return nil
 	}
-	if now-oldest.receivedAt < idleHeartbeatResponseTimeout && p.idleCount <= p.idleLimit {
+	if now-oldest.receivedAt < extendedResponseTimeout && p.extendedCount <= p.extendedLimit {
 		return nil
 	}
 	return oldest
@@ -150,7 +166,7 @@
 // be returned twice.
 func (p *pendingHeartbeats) all() iter.Seq[*pendingHeartbeat] {
 	return func(yield func(*pendingHeartbeat) bool) {
-		for _, queue := range [][]*pendingHeartbeat{p.queue, p.idleQueue} {
+		for _, queue := range [][]*pendingHeartbeat{p.queue, p.extendedQueue} {
 			for _, pending := range queue {
 				if pending.isUnanswered() && !yield(pending) {
 					return
@@ -163,15 +179,16 @@
 // clearQueues empties the queues. All heartbeats must have been answered.
 func (p *pendingHeartbeats) clearQueues() {
 	p.queue = nil
-	p.idleQueue = nil
+	p.extendedQueue = nil
+	p.awaitingView = nil
 }
 
 // isUnanswered reports whether the heartbeat still has to be answered.
 func (p *pendingHeartbeat) isUnanswered() bool { return !p.answered }
 
 // belongsInQueue reports whether the heartbeat still belongs in queue: it is unanswered
-// and its machine is not marked as idle.
-func (p *pendingHeartbeat) belongsInQueue() bool { return !p.answered && !p.idle }
+// and its timeout is not extended.
+func (p *pendingHeartbeat) belongsInQueue() bool { return !p.answered && !p.extended }
 
 // trimHead removes the heartbeats at the head of a queue that no longer belong there. It
 // returns the first one that remains, or nil if the queue is empty.
--- a/internal/controller/pending_heartbeats_test.go
+++ b/internal/controller/pending_heartbeats_test.go
@@ -24,13 +24,13 @@
 func TestPendingHeartbeatReplacesOlderOfItsMachine(t *testing.T) {
 	p := newPendingHeartbeats(100)
 	first := addPending(t, &p, 1)
-	p.markIdle(first)
+	p.extend(first)
 	second := &pendingHeartbeat{machine: 1}
 	if replaced := p.add(second); replaced != first || !first.answered {
 		t.Errorf("add replaced %v, answered %v; want the first heartbeat %v, answered", replaced, first.answered, first)
 	}
-	if p.get(1) != second || p.idleCount != 0 {
-		t.Errorf("got pending heartbeat %v, idle count %d; want the second heartbeat %v, 0", p.get(1), p.idleCount, second)
+	if p.get(1) != second || p.extendedCount != 0 {
+		t.Errorf("got pending heartbeat %v, extended count %d; want the second heartbeat %v, 0", p.get(1), p.extendedCount, second)
 	}
 	p.markAnswered(second)
 	if !p.empty() {
@@ -40,21 +40,21 @@
 
 // queueTests change the pending heartbeats of the machines 1, 2 and 3.
 var queueTests = []struct {
-	name        string
-	change      func(p *pendingHeartbeats, list []*pendingHeartbeat)
-	overdue     pipeline.MachineIndex   // machine of the next overdue heartbeat, 0 if there is none
-	overdueIdle pipeline.MachineIndex   // machine of the next overdue idle heartbeat, 0 if there is none
-	all         []pipeline.MachineIndex // machines of all pending heartbeats
+	name            string
+	change          func(p *pendingHeartbeats, list []*pendingHeartbeat)
+	overdue         pipeline.MachineIndex   // machine of the next overdue heartbeat, 0 if there is none
+	overdueExtended pipeline.MachineIndex   // machine of the next overdue extended heartbeat, 0 if there is none
+	all             []pipeline.MachineIndex // machines of all pending heartbeats
 }{
 	{"all pending", func(*pendingHeartbeats, []*pendingHeartbeat) {}, 1, 0, []pipeline.MachineIndex{1, 2, 3}},
 	{"oldest answered", func(p *pendingHeartbeats, list []*pendingHeartbeat) { p.markAnswered(list[0]) }, 2, 0, []pipeline.MachineIndex{2, 3}},
-	{"oldest idle", func(p *pendingHeartbeats, list []*pendingHeartbeat) { p.markIdle(list[0]) }, 2, 1, []pipeline.MachineIndex{1, 2, 3}},
-	{"marked as idle twice", func(p *pendingHeartbeats, list []*pendingHeartbeat) {
-		p.markIdle(list[2])
-		p.markIdle(list[2])
+	{"oldest extended", func(p *pendingHeartbeats, list []*pendingHeartbeat) { p.extend(list[0]) }, 2, 1, []pipeline.MachineIndex{1, 2, 3}},
+	{"extended twice", func(p *pendingHeartbeats, list []*pendingHeartbeat) {
+		p.extend(list[2])
+		p.extend(list[2])
 	}, 1, 3, []pipeline.MachineIndex{1, 2, 3}},
-	{"idle, then answered", func(p *pendingHeartbeats, list []*pendingHeartbeat) {
-		p.markIdle(list[1])
+	{"extended, then answered", func(p *pendingHeartbeats, list []*pendingHeartbeat) {
+		p.extend(list[1])
 		p.markAnswered(list[1])
 	}, 1, 0, []pipeline.MachineIndex{1, 3}},
 	{"all answered", func(p *pendingHeartbeats, list []*pendingHeartbeat) {
@@ -86,8 +86,8 @@
 			if got := machineOf(p.nextOverdue(longAfter)); got != test.overdue {
 				t.Errorf("nextOverdue returned heartbeat of machine %d, want %d", got, test.overdue)
 			}
-			if got := machineOf(p.nextOverdueIdle(longAfter)); got != test.overdueIdle {
-				t.Errorf("nextOverdueIdle returned heartbeat of machine %d, want %d", got, test.overdueIdle)
+			if got := machineOf(p.nextOverdueExtended(longAfter)); got != test.overdueExtended {
+				t.Errorf("nextOverdueExtended returned heartbeat of machine %d, want %d", got, test.overdueExtended)
 			}
 		})
 	}
@@ -105,8 +105,8 @@
 			if !slices.Equal(all, test.all) {
 				t.Errorf("all returned heartbeats of machines %v, want %v", all, test.all)
 			}
-			if p.idleCount != 0 {
-				t.Errorf("idleCount = %d after all heartbeats were answered, want 0", p.idleCount)
+			if p.extendedCount != 0 {
+				t.Errorf("extendedCount = %d after all heartbeats were answered, want 0", p.extendedCount)
 			}
 		})
 	}
@@ -115,7 +115,7 @@
 func TestHeartbeatsAreCheckedOnChangeAndAfterRounds(t *testing.T) {
 	p := newPendingHeartbeats(100)
 	addPending(t, &p, 1)
-	p.markIdle(addPending(t, &p, 2))
+	p.extend(addPending(t, &p, 2))
 	if got := p.drainToCheck([]pipeline.MachineIndex{9}); !slices.Equal(got, []pipeline.MachineIndex{1, 2, 9}) {
 		t.Errorf("drainToCheck = %v, want [1 2 9]: machines with new heartbeats, then changed ones", got)
 	}
@@ -143,33 +143,54 @@
 func TestHeartbeatsBecomeOverdue(t *testing.T) {
 	const begin = time.Minute
 	tests := []struct {
-		name      string
-		idle      bool
-		idleLimit int
-		waited    time.Duration
-		want      bool
+		name          string
+		extended      bool
+		extendedLimit int
+		waited        time.Duration
+		want          bool
 	}{
 		{"before the timeout", false, 1, heartbeatResponseTimeout - 1, false},
 		{"overdue", false, 1, heartbeatResponseTimeout, true},
-		{"idle, before the timeout", true, 1, idleHeartbeatResponseTimeout - 1, false},
-		{"idle, overdue", true, 1, idleHeartbeatResponseTimeout, true},
-		{"idle, above the limit of idle heartbeats", true, 0, 0, true},
+		{"extended, before the timeout", true, 1, extendedResponseTimeout - 1, false},
+		{"extended, overdue", true, 1, extendedResponseTimeout, true},
+		{"extended, above the limit of extended heartbeats", true, 0, 0, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			p := newPendingHeartbeats(test.idleLimit)
+			p := newPendingHeartbeats(test.extendedLimit)
 			pending := &pendingHeartbeat{machine: 1, receivedAt: begin}
 			p.add(pending)
-			if test.idle {
-				p.markIdle(pending)
+			if test.extended {
+				p.extend(pending)
 			}
-			got, gotIdle := p.nextOverdue(begin+test.waited), p.nextOverdueIdle(begin+test.waited)
-			if (got != nil) != (test.want && !test.idle) {
-				t.Errorf("nextOverdue = %v, want a heartbeat: %v", got, test.want && !test.idle)
+			got, gotExtended := p.nextOverdue(begin+test.waited), p.nextOverdueExtended(begin+test.waited)
+			if (got != nil) != (test.want && !test.extended) {
+				t.Errorf("nextOverdue = %v, want a heartbeat: %v", got, test.want && !test.extended)
 			}
-			if (gotIdle != nil) != (test.want && test.idle) {
-				t.Errorf("nextOverdueIdle = %v, want a heartbeat: %v", gotIdle, test.want && test.idle)
+			if (gotExtended != nil) != (test.want && test.extended) {
+				t.Errorf("nextOverdueExtended = %v, want a heartbeat: %v", gotExtended, test.want && test.extended)
 			}
 		})
 	}
 }
+
+// TestHeartbeatsAwaitView checks that a heartbeat whose start command waits for a fresh view is
+// checked again once tasks may be started, and is overdue only after the extended timeout.
+func TestHeartbeatsAwaitView(t *testing.T) {
+	p := newPendingHeartbeats(100)
+	pending := addPending(t, &p, 1)
+	p.drainToCheck(nil)
+	p.awaitView(pending)
+	if got := p.nextOverdue(pending.receivedAt + heartbeatResponseTimeout); got != nil {
+		t.Errorf("nextOverdue = %v, want none before the extended timeout", got)
+	}
+	if got := p.drainAwaitingView(); !slices.Equal(got, []pipeline.MachineIndex{1}) {
+		t.Errorf("drainAwaitingView = %v, want [1]", got)
+	}
+	if got := p.drainAwaitingView(); len(got) != 0 {
+		t.Errorf("second drainAwaitingView = %v, want none", got)
+	}
+	if got := p.nextOverdueExtended(pending.receivedAt + extendedResponseTimeout); got != pending {
+		t.Errorf("nextOverdueExtended = %v, want the heartbeat after the extended timeout", got)
+	}
+}
--- a/internal/controller/worker_answers.go
+++ b/internal/controller/worker_answers.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"lugward/internal/election"
 	"lugward/internal/event"
 	"lugward/internal/httpwire"
 	"lugward/internal/worker"
@@ -21,12 +22,18 @@
 		return
 	}
 	machines = c.heartbeats.pending.appendAfterRound(machines, c.jobs.RoundRequested())
+	if c.election.MayStartTasks(now) {
+		machines = append(machines, c.heartbeats.pending.drainAwaitingView()...)
+	}
 	for _, machine := range machines {
 		if pending := c.heartbeats.pending.get(machine); pending != nil {
 			c.answerIfReady(pending, now, out)
 		}
 	}
 	c.answerOverdue(now, out)
+	if len(c.heartbeats.pending.awaitingView) > 0 {
+		c.store.Tick(now, out) // sends the refresh that these heartbeats wait for
+	}
 }
 
 // answerAll answers all pending heartbeats.
@@ -37,15 +44,14 @@
 	c.heartbeats.pending.clearQueues()
 }
 
-// answerOverdue answers the heartbeats whose timeout has passed. A heartbeat whose machine
-// is found to be idle is not answered yet: its timeout becomes
-// idleHeartbeatResponseTimeout.
+// answerOverdue answers the heartbeats whose timeout has passed. A heartbeat whose response may
+// soon start a task is not answered yet: its timeout becomes extendedResponseTimeout.
 func (c *Controller) answerOverdue(now event.Time, out *event.Effects) {
 	pending := &c.heartbeats.pending
 	for overdue := pending.nextOverdue(now); overdue != nil; overdue = pending.nextOverdue(now) {
 		c.answerIfReady(overdue, now, out)
 	}
-	for overdue := pending.nextOverdueIdle(now); overdue != nil; overdue = pending.nextOverdueIdle(now) {
+	for overdue := pending.nextOverdueExtended(now); overdue != nil; overdue = pending.nextOverdueExtended(now) {
 		c.answerHeartbeat(overdue, now, out)
 	}
 }
@@ -53,16 +59,21 @@
 // answerIfReady answers a heartbeat unless its response may soon contain more commands.
 func (c *Controller) answerIfReady(pending *pendingHeartbeat, now event.Time, out *event.Effects) {
 	waited := now - pending.receivedAt
-	if !pending.idle && waited < heartbeatResponseTimeout && c.jobs.RoundRequested() {
+	if !pending.extended && waited < heartbeatResponseTimeout && c.jobs.RoundRequested() {
 		return // the next round may place tasks on the machine
 	}
-	if waited < idleHeartbeatResponseTimeout && c.workers.Idle(pending.heartbeat) {
-		c.heartbeats.pending.markIdle(pending)
+	if waited < extendedResponseTimeout && c.workers.Idle(pending.heartbeat) {
+		c.heartbeats.pending.extend(pending)
 		return
 	}
 	if waited < heartbeatResponseTimeout && !c.workers.AllPersisted(pending.machine) {
 		return // changes to the machine's assignments are not persisted yet
 	}
+	if waited < extendedResponseTimeout && !c.election.MayStartTasks(now) && c.workers.AwaitsStart(pending.heartbeat) {
+		c.heartbeats.pending.awaitView(pending)
+		c.store.Refresh(election.MaxStartViewAge)
+		return
+	}
 	c.answerHeartbeat(pending, now, out)
 }
 
--- a/internal/controller/worker_heartbeats.go
+++ b/internal/controller/worker_heartbeats.go
@@ -15,7 +15,7 @@
 }
 
 func newWorkerHeartbeats(maxConnections int) workerHeartbeats {
-	return workerHeartbeats{pending: newPendingHeartbeats(maxConnections / idleSocketDivisor)}
+	return workerHeartbeats{pending: newPendingHeartbeats(maxConnections / extendedSocketDivisor)}
 }
 
 // replyTarget is the destination of the response to a worker's heartbeat: a connection of
--- a/internal/election/campaign.go
+++ b/internal/election/campaign.go
@@ -73,7 +73,7 @@
 // submitTerm writes the term key and the token key in one transaction, which fails if
 // either key has changed.
 func (e *Election) submitTerm(c campaign) {
-	data := termRecord{Label: e.cfg.Label, FencingToken: c.token}.encode()
+	data := termRecord{Label: e.cfg.Label, FencingToken: c.token, MaxStartViewAgeMS: MaxStartViewAge.Milliseconds()}.encode()
 	e.store.Submit(&kv.Txn{
 		Priority: kv.PriorityTerm,
 		Compares: []kv.Compare{
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -56,6 +56,10 @@
 	termModRevision      uint64 // mod revision of the term key, zero if the key does not exist
 	latestToken          uint64 // fencing token in the token key
 	highestReportedToken uint64 // highest fencing token in messages of workers and peers
+	leaderRevision       uint64 // see RecordLeaderRevision
+	// maxStartViewAge is the greatest age of the watch cache at which the leader gives start
+	// commands, as the term key states it, or zero if the key does not.
+	maxStartViewAge time.Duration
 }
 
 // New returns an election that has not observed any term.
@@ -93,6 +97,11 @@
 	e.observed.leader = record.Label
 	e.observed.leaderToken = record.FencingToken
 	e.observed.termModRevision = modRevision
+	e.observed.maxStartViewAge = time.Duration(record.MaxStartViewAgeMS) * time.Millisecond
+	if e.observed.maxStartViewAge > 0 {
+		// The leader acts only once its watch cache contains its own term key.
+		e.RecordLeaderRevision(modRevision)
+	}
 	e.candidacy.campaignAt = notScheduled
 	if e.HoldsTerm() && modRevision != e.term.modRevision {
 		e.stepDown(ReasonTermKeyChanged)
--- a/internal/election/protocol.go
+++ b/internal/election/protocol.go
@@ -22,6 +22,9 @@
 type termRecord struct {
 	Label        string `json:"l"` // label of the leader
 	FencingToken uint64 `json:"f"`
+	// MaxStartViewAgeMS is the greatest age of the leader's watch cache, in ms, at which it gives
+	// start commands. Earlier versions have no such limit and omit it.
+	MaxStartViewAgeMS int64 `json:"sv,omitempty"`
 }
 
 func (r termRecord) encode() []byte {
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -48,9 +48,9 @@
 	return kv.Compare{Key: termKey, ModRevision: e.term.modRevision}
 }
 
-// IsLeader reports whether this controller may act as leader, which includes starting
-// tasks: its lease is guaranteed to be valid and its cache contains everything that
-// was written before the term.
+// IsLeader reports whether this controller may act as leader: its lease is guaranteed to
+// be valid and its cache contains everything that was written before the term. To start
+// tasks, its cache must also be fresh, see MayStartTasks.
 func (e *Election) IsLeader(now event.Time) bool {
 	return e.cacheCaughtUp() && now < e.term.validUntil
 }
--- a/internal/kv/barrier.go
+++ b/internal/kv/barrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"lugward/internal/event"
 )
@@ -31,13 +32,22 @@
 	}
 }
 
-// sendBarrier requests all changes up to now if a caller waits for a barrier or the
-// cache is stale.
+// Refresh requests that the cache be read again as soon as possible, unless it is newer
+// than maxAge when the request could be sent.
+func (c *Client) Refresh(maxAge time.Duration) { c.refreshAge = maxAge }
+
+// sendBarrier requests all changes up to now if a caller waits for a barrier, Refresh was
+// called or the cache is stale.
 func (c *Client) sendBarrier(now event.Time, out *event.Effects) {
-	stale := now-c.cache.freshUntil >= c.staleAfter
-	if !c.barrier.due(now) || (len(c.barrierWaiters) == 0 && !stale) || !c.rates.requests.canAcquire(now, 1) {
+	age := now - c.cache.freshUntil
+	if age < c.refreshAge {
+		c.refreshAge = 0
+	}
+	needed := len(c.barrierWaiters) > 0 || c.refreshAge > 0 || age >= c.staleAfter
+	if !needed || !c.barrier.due(now) || !c.rates.requests.canAcquire(now, 1) {
 		return
 	}
+	c.refreshAge = 0
 	c.barrier.recordSent(now)
 	waiters := c.barrierWaiters
 	c.barrierWaiters = nil
--- a/internal/kv/barrier_test.go
+++ b/internal/kv/barrier_test.go
@@ -58,3 +58,37 @@
 		t.Errorf("got barrier results %v, want one %v", results, ErrNotSynced)
 	}
 }
+
+// TestRefresh checks that a refresh is sent as a barrier unless the cache is newer than its
+// maximum age, and only once.
+func TestRefresh(t *testing.T) {
+	h := newHarness(t, ampleConfig)
+	h.drainCalls("")
+	h.Barrier(func(event.Time, error, *event.Effects) {})
+	h.advance(time.Second)
+	h.respond(h.drainFirstCall(watchPath), 200, `{"epoch":5,"log":[]}`)
+	refreshes := func(after, maxAge time.Duration) int {
+		h.advance(after)
+		h.Refresh(maxAge)
+		h.advance(0)
+		calls := h.drainCalls(watchPath)
+		for _, call := range calls {
+			h.respond(call, 200, `{"epoch":5,"log":[]}`)
+		}
+		return len(calls)
+	}
+	for _, test := range []struct {
+		name          string
+		after, maxAge time.Duration
+		want          int
+	}{
+		{"newer than the maximum age", 900 * time.Millisecond, time.Second, 0},
+		{"as old as the maximum age", 100 * time.Millisecond, time.Second, 1},
+		{"just refreshed", 200 * time.Millisecond, time.Second, 0},
+		{"older", 5 * time.Second, time.Second, 1},
+	} {
+		if got := refreshes(test.after, test.maxAge); got != test.want {
+			t.Errorf("%s: %d requests were sent, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -114,6 +114,7 @@
 	barrier pollPacer
 	// barrierWaiters are called at the end of the next barrier that is sent.
 	barrierWaiters []BarrierFunc
+	refreshAge     time.Duration // maximum age of the last Refresh without effect so far, or 0
 
 	txns txnQueue
 }
--- a/internal/peer/decode.go
+++ b/internal/peer/decode.go
@@ -48,9 +48,11 @@
 		f.ID = r.u64("id")
 		f.Status = r.u16("status")
 		f.Body = r.readBytes("data", int(r.u32("data length")))
+	case View:
+		f.Revision = r.u64("revision")
 	default:
 		if r.err == nil {
-			r.err = &DecodeError{Field: "kind", Offset: 1, Found: int(f.Kind), Expected: "1, 2 or 3"}
+			r.err = &DecodeError{Field: "kind", Offset: 1, Found: int(f.Kind), Expected: "1 to 4"}
 		}
 	}
 	if left := len(in) - r.offset; r.err == nil && left != 0 {
--- a/internal/peer/encode.go
+++ b/internal/peer/encode.go
@@ -17,6 +17,8 @@
 		dst = binary.BigEndian.AppendUint64(dst, f.ID)
 		dst = binary.BigEndian.AppendUint16(dst, f.Status)
 		dst = appendBytes(dst, f.Body)
+	case View:
+		dst = binary.BigEndian.AppendUint64(dst, f.Revision)
 	}
 	return dst
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,9 @@
 //	Heartbeat: kind 1 | flags u8 | token u64 | requests u16 | writes u16
 //	Relay:     kind 2 | id u64 | data: length u32, bytes
 //	RelayAck:  kind 3 | id u64 | status u16 | data: length u32, bytes
+//	View:      kind 4 | revision u64
+//
+// The version in production knows no View and ignores it.
 //
 // The flags of a heartbeat are StateOK (bit 0) and IsLeader (bit 1). The other bits
 // must be 0, and no bytes may follow the last field. Decode rejects any other input
@@ -28,6 +31,10 @@
 	Relay Kind = 2
 	// RelayAck carries the leader's response to a Relay.
 	RelayAck Kind = 3
+	// View tells up to which revision the watch cache of the sender was complete while it was
+	// the leader and its lease was valid. The statement remains true, however late the frame
+	// arrives.
+	View Kind = 4
 )
 
 // version is the first byte of each frame. A controller rejects frames of any
@@ -60,4 +67,8 @@
 	ID     uint64 // chosen by the sender of the Relay
 	Status uint16 // HTTP status, only in a RelayAck
 	Body   []byte // body of the HTTP request or response
+
+	// Field of a View:
+
+	Revision uint64 // revision of the state service
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"heartbeat": {Kind: Heartbeat, Label: "node-0", StateOK: true, IsLeader: true, FencingToken: 1 << 40, Requests: 7, Writes: 65535},
 	"relay":     {Kind: Relay, Label: "n", ID: 9, Body: []byte(`{"host":"i-1"}`)},
 	"relay ack": {Kind: RelayAck, Label: "", ID: 9, Status: 200, Body: []byte("{}")},
+	"view":      {Kind: View, Label: "n", Revision: 1 << 50},
 }
 
 // TestRoundTrip checks that encoding and decoding a frame returns an equal frame.
@@ -57,7 +58,7 @@
 		{"empty", nil, "frame: version at byte 0: expected 1 bytes, found 0"},
 		{"another version", []byte{1, 1, 0}, "frame: version at byte 0: expected 2, found 1"},
 		{"no kind", []byte{2}, "frame: kind at byte 1: expected 1 bytes, found 0"},
-		{"unknown kind", []byte{2, 9, 0}, "frame: kind at byte 1: expected 1, 2 or 3, found 9"},
+		{"unknown kind", []byte{2, 9, 0}, "frame: kind at byte 1: expected 1 to 4, found 9"},
 		{"truncated label", []byte{2, 1, 3, 'a'}, "frame: label at byte 3: expected 3 bytes, found 1"},
 		{"unknown flag", []byte{2, 1, 0, 4}, "frame: flags at byte 3: expected only bits 0 and 1, found 4"},
 		{"truncated token", []byte{2, 1, 0, 1, 0}, "frame: token at byte 4: expected 8 bytes, found 1"},
--- a/internal/simtest/checker.go
+++ b/internal/simtest/checker.go
@@ -10,18 +10,20 @@
 
 // Checker checks the invariants of the protocol. It observes only what workers execute
 // and which answers users get, and ignores what controllers store and what they send each
-// other, with three exceptions. No downstream job may start before the done record of its
+// other, with four exceptions. No downstream job may start before the done record of its
 // upstream job exists. No machine may be commanded to start a task that no run record has
-// assigned to it. No controller may relay two heartbeats under the same ID.
+// assigned to it. No controller may relay two heartbeats under the same ID. No controller may
+// give the command to start a task once its cancellation is acknowledged, whether or not a worker
+// gets that command.
 type Checker struct {
 	world          *World
 	Violations     []string                     // in order of detection, each with its virtual time
 	faultsOverAt   time.Duration                // when the last fault ended; zero while faults may occur
 	instances      map[string][]*taskAssignment // started attempts that may still be on machines, by task
 	upstreamDoneAt map[string]time.Duration     // when all upstream jobs of a job were done, by job ID
-	// assignedMachine holds the machine of each attempt that a run record has ever listed.
-	assignedMachine map[attemptKey]string
-	relayIDs        relayIDs
+	relayIDs       relayIDs
+	assignments
+	startCommands
 	answerHistory
 	cancellations
 	placeableJobs
@@ -43,19 +45,21 @@
 
 // counters holds the counts that scenarios print.
 type counters struct {
-	starts                  int
-	startsAfterCancellation int            // starts of tasks whose cancellation was already acknowledged
-	refusals                map[string]int // commands refused by workers, by cause
-	unansweredHeartbeats    int
+	starts                       int
+	startsAfterCancellation      int            // starts of tasks whose cancellation was already acknowledged
+	startsGivenAfterCancellation int            // commands to start such tasks, given after the acknowledgement
+	refusals                     map[string]int // commands refused by workers, by cause
+	unansweredHeartbeats         int
 }
 
 func newChecker(world *World) *Checker {
 	return &Checker{
-		world:           world,
-		instances:       map[string][]*taskAssignment{},
-		upstreamDoneAt:  map[string]time.Duration{},
-		assignedMachine: map[attemptKey]string{},
-		relayIDs:        newRelayIDs(),
+		world:          world,
+		instances:      map[string][]*taskAssignment{},
+		upstreamDoneAt: map[string]time.Duration{},
+		assignments:    newAssignments(),
+		relayIDs:       newRelayIDs(),
+		startCommands:  newStartCommands(),
 		answerHistory: answerHistory{
 			acknowledgedPhase: map[string]string{},
 			acknowledgedAt:    map[string]time.Duration{},
--- a/internal/simtest/checker_assignments.go
+++ b/internal/simtest/checker_assignments.go
@@ -15,6 +15,30 @@
 	attempt uint64
 }
 
+// job returns the ID of the job of the task.
+func (key attemptKey) job() string {
+	id, _, _ := strings.Cut(key.task, "/")
+	return id
+}
+
+// assignments holds the assignments in the run records of the state service.
+type assignments struct {
+	// assignedMachine holds the machine of each attempt that a run record has ever listed.
+	assignedMachine map[attemptKey]string
+	// assignedTimes counts how often an attempt was added to a run record. A task of a gang that
+	// was lost may be assigned again under the same attempt.
+	assignedTimes map[attemptKey]int
+	listed        map[string]map[attemptKey]bool // attempts that a run record lists now, by key
+}
+
+func newAssignments() assignments {
+	return assignments{
+		assignedMachine: map[attemptKey]string{},
+		assignedTimes:   map[attemptKey]int{},
+		listed:          map[string]map[attemptKey]bool{},
+	}
+}
+
 // recordAssignments records which machines a value of the state service assigns tasks to. It
 // ignores values that are not valid run records.
 func (checker *Checker) recordAssignments(key string, value []byte) {
@@ -27,9 +51,16 @@
 	if err != nil {
 		return
 	}
+	before, now := checker.listed[key], map[attemptKey]bool{}
 	for _, assignment := range run.Active {
-		checker.assignedMachine[attemptKey{taskName(id, assignment.Task), assignment.Attempt}] = assignment.Machine
+		attempt := attemptKey{taskName(id, assignment.Task), assignment.Attempt}
+		now[attempt] = true
+		checker.assignedMachine[attempt] = assignment.Machine
+		if !before[attempt] {
+			checker.assignedTimes[attempt]++
+		}
 	}
+	checker.listed[key] = now
 }
 
 // checkAssigned checks that a machine that is commanded to start an attempt of a task is the
--- a/internal/simtest/checker_cancellation.go
+++ b/internal/simtest/checker_cancellation.go
@@ -61,7 +61,8 @@
 }
 
 // checkCancelledStart counts a start after an acknowledged cancellation, and checks that it
-// happens within the time that the cancellation may take.
+// happens within the time that the cancellation may take and by a command that was given before
+// the acknowledgement.
 func (checker *Checker) checkCancelledStart(assignment *taskAssignment) {
 	since, ok := checker.cancelledSince(assignment.job.id)
 	if !ok {
@@ -72,4 +73,8 @@
 		checker.reportViolation("cancelled task started too late: task %s starts %s after the acknowledged cancellation, want at most %vs",
 			assignment.name, checker.world.now-since, checker.world.config.Settings.Workers.CancelS)
 	}
+	if given, ok := checker.startGivenAt[attemptKey{assignment.name, assignment.attempt}]; !ok || given >= since {
+		checker.reportViolation("cancelled task started by a later command: task %s attempt %d starts on %s, no command to start it was given before the acknowledged cancellation",
+			assignment.name, assignment.attempt, assignment.worker.name)
+	}
 }
--- a/internal/simtest/checker_test.go
+++ b/internal/simtest/checker_test.go
@@ -1,14 +1,31 @@
 package simtest
 
 import (
+	"encoding/json"
 	"io"
 	"strings"
 	"testing"
 	"time"
 
+	"lugward/internal/event"
 	"lugward/internal/peer"
 )
 
+// cancelJob requests and acknowledges the cancellation of a job.
+func cancelJob(world *World, job *jobRecord) {
+	world.checker.cancelRequests[job.id] = true
+	world.checker.checkAnswer(world.now, job.id, 200, jobCancelled)
+}
+
+// startReply returns a response to a heartbeat that starts an attempt of a task.
+func startReply(task string, attempt uint64) []event.Reply {
+	body, err := json.Marshal(heartbeatResponse{FencingToken: 1, Commands: []taskCommand{{Verb: "start", Task: task, Attempt: attempt}}})
+	if err != nil {
+		panic(err) // text and numbers can always be encoded
+	}
+	return []event.Reply{{Status: 200, Body: body}}
+}
+
 // startOnMachine starts a task of a job on a new machine without checking any placement constraint.
 func startOnMachine(world *World, job *jobRecord, index int, machine machineIdentity) *taskAssignment {
 	machine.name = "i-" + string(rune('a'+len(world.workers)))
@@ -129,6 +146,59 @@
 			startOnMachine(world, job, 0, machineIdentity{machineType: "small", zone: "a"})
 		},
 	},
+	{
+		name: "start command given after the cancellation",
+		want: "start command after the cancellation: n0 commands the start of task req-000001/0 attempt 1 1s after the acknowledged cancellation",
+		act: func(world *World, job *jobRecord) {
+			cancelJob(world, job)
+			world.now += time.Second
+			world.checker.checkGivenStarts("n0", startReply("req-000001/0", 1), nil)
+		},
+	},
+	{
+		name: "start command given to a relaying controller after the cancellation",
+		want: "start command after the cancellation: n0 commands the start of task req-000001/0 attempt 1",
+		act: func(world *World, job *jobRecord) {
+			cancelJob(world, job)
+			ack := peer.Frame{Kind: peer.RelayAck, Label: "n0", ID: 7, Status: 200, Body: startReply("req-000001/0", 1)[0].Body}
+			world.checker.checkGivenStarts("n0", nil, []event.PeerFrame{{Data: peer.Append(nil, &ack)}})
+		},
+	},
+	{
+		name: "starts by a command that was given after the cancellation",
+		want: "cancelled task started by a later command: task req-000001/0 attempt 1 starts on i-a",
+		act: func(world *World, job *jobRecord) {
+			cancelJob(world, job)
+			startOnMachine(world, job, 0, machineIdentity{machineType: "small", zone: "a"})
+		},
+	},
+	{
+		name: "start command executed too late after the cancellation",
+		want: "start command executed after the cancellation: task req-000001/0 attempt 1 is started on i-a 4.001s after the acknowledged cancellation, want at most 4s",
+		act: func(world *World, job *jobRecord) {
+			cancelJob(world, job)
+			world.now += heartbeatTimeout + time.Millisecond
+			commandStart(world, job, smallMachine("i-a", "a"))
+		},
+	},
+	{
+		name: "start command executed twice",
+		want: "start command executed twice: task req-000001/0 attempt 1 is started on i-a, which has started it before in this incarnation",
+		act: func(world *World, job *jobRecord) {
+			world.stateService.putValue(runKeyPrefix+job.id+"/0", `{"t":1,"a":[[0,1,"i-a"]]}`)
+			commandStart(world, job, smallMachine("i-a", "a"))
+			commandStart(world, job, smallMachine("i-a", "a"))
+		},
+	},
+	{
+		name: "start in a direct command",
+		want: "start in a direct command: i-a is commanded to start task req-000001/0 attempt 1",
+		act: func(world *World, job *jobRecord) {
+			world.stateService.putValue(runKeyPrefix+job.id+"/0", `{"t":1,"a":[[0,1,"i-a"]]}`)
+			worker := newWorker(world, smallMachine("i-a", "a"))
+			worker.serve(directCommandPath, []byte(`{"fence":1,"tenure":1,"orders":[{"verb":"start","shard":"req-000001/0","try":1}]}`), func(int, any) {})
+		},
+	},
 	{
 		name: "placeable job not started",
 		want: "placeable job not started: job req-000001 unassigned for 1m30.5s with free capacity",
@@ -304,6 +374,9 @@
 		world.checker.checkStart(&taskAssignment{worker: worker, job: job, name: task, attempt: 1, phase: "running"})
 	}
 	start("req-000001/0")
+	// The command to start the second task is in flight when the cancellation is acknowledged.
+	world.checker.checkGivenStarts("n0", startReply("req-000001/1", 1), nil)
+	world.now += time.Second
 	world.checker.cancelRequests[job.id] = true
 	world.checker.checkAnswer(world.now, job.id, 200, "cancelled")
 	start("req-000001/1")
--- a/internal/simtest/controller.go
+++ b/internal/simtest/controller.go
@@ -9,6 +9,7 @@
 	"lugward/internal/config"
 	"lugward/internal/controller"
 	"lugward/internal/event"
+	"lugward/internal/peer"
 )
 
 // controllerProcess simulates the process of a controller. It can be killed, restarted and
@@ -25,8 +26,9 @@
 	clockError  time.Duration // difference of this incarnation's time of day from true time
 	connections
 	pauseState
-	watchBlocked bool // watch requests to the state service get no response; other requests do
-	denied       bool // the state service rejects the requests of this controller only
+	forwardsResponse bool // the current step forwards the leader's response to a relayed heartbeat
+	watchBlocked     bool // watch requests to the state service get no response; other requests do
+	denied           bool // the state service rejects the requests of this controller only
 }
 
 // connections holds the open requests and worker connections of a controller.
@@ -161,6 +163,11 @@
 	input(process.world.now - process.startedAt)
 	replies, calls, frames := process.effects.Replies, process.effects.Calls, process.effects.Frames
 	process.effects.Replies, process.effects.Calls, process.effects.Frames = nil, nil, nil
+	if process.forwardsResponse {
+		process.forwardsResponse = false // decided by the leader, whose step was checked
+	} else {
+		process.world.checker.checkGivenStarts(process.name, replies, frames)
+	}
 	if duration := process.pauseAfterDecision; duration > 0 && len(replies)+len(calls) > 0 {
 		process.pauseAfterDecision = 0
 		process.deferredEffects = func() { process.applyEffects(replies, calls, frames) }
@@ -194,7 +201,9 @@
 	if !process.up {
 		return
 	}
+	frame, err := peer.Decode(data)
 	process.step(func(now event.Time) {
+		process.forwardsResponse = err == nil && frame.Kind == peer.RelayAck
 		process.controller.HandleFrame(now, event.PeerFrame{Peer: event.UnknownPeer, Data: data}, &process.effects)
 	})
 }
--- a/internal/simtest/worker_commands.go
+++ b/internal/simtest/worker_commands.go
@@ -28,6 +28,7 @@
 			return
 		}
 		worker.recordFencingToken(*request.FencingToken)
+		worker.world.checker.checkDirectCommands(worker, request.Commands)
 		worker.executeCommands(request.Commands)
 	}
 	answer(http.StatusOK, worker.buildHeartbeat())
--- a/internal/simtest/worker_tasks.go
+++ b/internal/simtest/worker_tasks.go
@@ -44,6 +44,7 @@
 		return // not reported in heartbeats, which continue to show the old attempt
 	}
 	worker.assignments[command.Task] = assignment
+	worker.world.checker.checkExecutedStart(worker, command)
 	if job == nil || index >= job.taskCount {
 		assignment.cause = causeUnknown
 		return
--- a/internal/worker/assignments.go
+++ b/internal/worker/assignments.go
@@ -27,6 +27,25 @@
 	return true
 }
 
+// AwaitsStart reports whether a heartbeat does not list a task that its machine is to run, so that
+// the response to it starts the task if tasks may be started now.
+func (r *Registry) AwaitsStart(heartbeat *Heartbeat) bool {
+	machine := r.Lookup(heartbeat.Machine)
+	if machine == nil {
+		return false
+	}
+	listed := map[*pipeline.Assignment]bool{}
+	for i := range heartbeat.Tasks {
+		listed[r.resolveTask(machine, &heartbeat.Tasks[i]).assignment] = true
+	}
+	for assignment := range r.jobs.AssignmentsOn(machine.Index) {
+		if !listed[assignment] && assignment.FullyPersisted() && !terminationOf(assignment).required {
+			return true
+		}
+	}
+	return false
+}
+
 // Idle reports whether a heartbeat lists no tasks and its machine has no persisted
 // assignment. Machines that are not reachable or are about to be released or reclaimed are
 // not considered idle.
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -62,7 +62,7 @@
 		machine:        r.Add(heartbeat.Machine, now),
 		heartbeat:      heartbeat,
 		tokenConfirmed: heartbeat.FencingToken == leadership.FencingToken(),
-		mayStart:       leadership.IsLeader(now),
+		mayStart:       leadership.MayStartTasks(now),
 		listed:         map[*pipeline.Assignment]bool{},
 	}
 	response.machine.unknownTasks = 0
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -14,8 +14,8 @@
 type Leadership interface {
 	// FencingToken returns the fencing token of the term of this controller.
 	FencingToken() uint64
-	// IsLeader reports whether tasks may be started now.
-	IsLeader(now event.Time) bool
+	// MayStartTasks reports whether tasks may be started now.
+	MayStartTasks(now event.Time) bool
 	// RecordFencingToken records a fencing token that a worker has sent.
 	RecordFencingToken(token uint64)
 	// TasksExpireAt returns the latest time at which the tasks of a machine terminate,
--- a/internal/worker/workertest/workertest.go
+++ b/internal/worker/workertest/workertest.go
@@ -26,8 +26,8 @@
 // FencingToken returns the fencing token of the term.
 func (Leader) FencingToken() uint64 { return FencingToken }
 
-// IsLeader returns true at any time.
-func (Leader) IsLeader(event.Time) bool { return true }
+// MayStartTasks returns true at any time.
+func (Leader) MayStartTasks(event.Time) bool { return true }
 
 // RecordFencingToken ignores the tokens of workers.
 func (Leader) RecordFencingToken(uint64) {}
