Simulation: late copies of what brings a start to a machine

Cause: on a service like this one a task ran twice, and a cancelled one ran again, as a late copy of a start command reached a machine after a controller had come back within a second. The rig repeated heartbeats, calls and frames, but no responses to heartbeats, and a task that was started again on its own machine was not noticed.

Change: copies of responses to heartbeats, too.

That a worker accepts a response only for the request in flight is the fake's rule, as HTTP has it; a client that takes copies for answers to later requests isn't played.

--- a/internal/simtest/network.go
+++ b/internal/simtest/network.go
@@ -1,6 +1,7 @@
 package simtest
 
 import (
+	"bytes"
 	"time"
 )
 
@@ -31,7 +32,9 @@
 	duplicateShare  float64       // share of heartbeats of which a copy arrives later at a random controller
 	duplicateDelay  time.Duration // maximum delay of such a copy
 
-	frameRepeatShare float64 // share of frames between controllers of which a copy arrives later
+	frameRepeatShare    float64 // share of frames between controllers of which a copy arrives later
+	responseRepeatShare float64 // share of responses to heartbeats of which a copy arrives later
+	startCopies         int     // copies of start commands that have arrived so far
 }
 
 // requestDelays configures delays of requests and responses.
@@ -86,9 +89,20 @@
 func (network *fakeNetwork) sendFrame(sender, receiver *controllerProcess, data []byte) {
 	deliver := func() { receiver.handleFrame(data) }
 	network.send(sender.name, receiver.name, deliver)
-	if network.world.chance(network.frameRepeatShare) {
-		network.world.schedule(network.world.randomDuration(0, maxRepeatDelay), deliver)
+	network.repeatLater(network.frameRepeatShare, data, deliver)
+}
+
+// repeatLater delivers a copy of a message later, with the given probability.
+func (network *fakeNetwork) repeatLater(share float64, data []byte, deliver func()) {
+	if !network.world.chance(share) {
+		return
 	}
+	network.world.schedule(network.world.randomDuration(0, maxRepeatDelay), func() {
+		if bytes.Contains(data, startVerbField) {
+			network.startCopies++
+		}
+		deliver()
+	})
 }
 
 // sendDelayed sends a packet after an additional delay.
--- a/internal/simtest/network_requests.go
+++ b/internal/simtest/network_requests.go
@@ -72,8 +72,13 @@
 				answerOnce(0, nil)
 				return
 			}
-			if receiver == process {
-				network.sendDelayed(responseDelay, process.name, request.from, func() { answerOnce(status, body) })
+			if receiver != process {
+				return
+			}
+			deliver := func() { answerOnce(status, body) }
+			network.sendDelayed(responseDelay, process.name, request.from, deliver)
+			if request.path == heartbeatPath {
+				network.repeatLater(network.responseRepeatShare, body, deliver)
 			}
 		})
 	})
--- a/internal/simtest/random_faults_test.go
+++ b/internal/simtest/random_faults_test.go
@@ -20,7 +20,7 @@
 	noFault, restartSeveral, blockInboundOfOne, isolateLeader, pauseController, lateWrites, delayHeartbeats, delayCommands,
 	blockHeartbeatsOfSome, injectLeaderLossDuringOutage, injectLeaderLossDuringOutage, cancelSome, cancelAtCompletion, invalidRequests, churnLeaders, disconnectZone,
 	restartAllAfterLease, blockInboundOfSome, slowState, blockWatch, restartRelayingControllers, restartRelayingControllers,
-	repeatFrames, unknownFields,
+	repeatFrames, unknownFields, repeatStarts, repeatStarts,
 }
 
 // injectRandomFault injects one random fault, which ends by itself.
--- a/internal/simtest/random_jobs_test.go
+++ b/internal/simtest/random_jobs_test.go
@@ -199,7 +199,7 @@
 	world.cloud.bootFailures, world.cloud.down = 0, false
 	world.network.lossShare, world.network.lateRepeatShare, world.network.duplicateShare = 0, 0, 0
 	world.network.lateWriteShare, world.network.delayedHeartbeatShare, world.network.delayedCommandShare = 0, 0, 0
-	world.network.frameRepeatShare = 0
+	world.network.frameRepeatShare, world.network.responseRepeatShare = 0, 0
 	world.users.cancelAtEnd, world.users.invalidRequests = 0, false
 	world.Run(maxDelay) // delayed messages arrive
 	world.checker.faultsOverAt = world.now
