Group late copies in the rig and the components of a controller

Cause: the shares of late copies were set and reset by hand in four places, and overlapping faults would have left the larger share behind. controller.Controller had 17 fields.

Change: messageCopies with copyAll, fakeNetwork.endFaults; the components of a controller are a struct of their own. The random faults return to the usual copies in place of the former ones.

Measured: tests of internal/simtest and internal/controller pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,15 +24,7 @@
 	cfg   *config.Platform
 	log   *slog.Logger
 	names *pipeline.Names
-
-	// The components that handle the inputs.
-	store      *kv.Client
-	election   *election.Election
-	jobs       *pipeline.Table
-	workers    *worker.Registry
-	scheduler  *scheduler.Scheduler
-	autoscaler *autoscaler.Autoscaler
-	api        *api.Server
+	components
 
 	leadership   leadership
 	leaderView   leaderView
@@ -43,6 +35,17 @@
 	machineSweep periodic
 }
 
+// components are the parts of a controller in other packages, which handle its inputs.
+type components struct {
+	store      *kv.Client
+	election   *election.Election
+	jobs       *pipeline.Table
+	workers    *worker.Registry
+	scheduler  *scheduler.Scheduler
+	autoscaler *autoscaler.Autoscaler
+	api        *api.Server
+}
+
 // handleChange routes a change in the watch cache to the component that owns the key.
 // data is nil if the key was deleted.
 func (c *Controller) handleChange(key string, data []byte, modRevision uint64) {
--- a/internal/simtest/commands_network.go
+++ b/internal/simtest/commands_network.go
@@ -41,7 +41,7 @@
 			numberParameter("repeated", "share of requests that are executed a second time later"),
 		},
 		run: actionCommand(func(world *World, arguments Arguments) {
-			world.network.lossShare, world.network.lateRepeatShare = arguments.number("loss", "0"), arguments.number("repeated", "0")
+			world.network.lossShare, world.network.copies.calls = arguments.number("loss", "0"), arguments.number("repeated", "0")
 		}),
 	},
 	"worker_sockets": {
@@ -58,7 +58,7 @@
 			durationParameter("within", "longest delay of a copy, 30s if absent"),
 		),
 		run: actionCommand(func(world *World, arguments Arguments) {
-			world.network.duplicateShare, world.network.duplicateDelay = arguments.number("share", "0"), arguments.duration("within", "30s")
+			world.network.copies.heartbeats, world.network.copies.heartbeatDelay = arguments.number("share", "0"), arguments.duration("within", "30s")
 		}),
 	},
 	"delay_heartbeats": {
--- a/internal/simtest/controller_calls.go
+++ b/internal/simtest/controller_calls.go
@@ -39,7 +39,7 @@
 			process.world.network.sendDelayed(back, receiver, process.name, func() { finish(status, body) })
 		})
 		// The network may deliver a request twice: the copy is executed later.
-		if call.Method == "POST" && process.world.random.Float64() < process.world.network.lateRepeatShare {
+		if call.Method == "POST" && process.world.random.Float64() < process.world.network.copies.calls {
 			delay := time.Duration(process.world.random.Int64N(int64(maxRepeatDelay)))
 			process.world.schedule(delay, func() { serve(func(int, any) {}) })
 		}
--- a/internal/simtest/late_copies_test.go
+++ b/internal/simtest/late_copies_test.go
@@ -85,9 +85,7 @@
 		disconnectWorkers(world, leader, 40*time.Second)
 		world.Run(8 * time.Second)
 	}
-	network := world.network
-	network.duplicateShare, network.duplicateDelay = 1, maxRepeatDelay
-	network.frameRepeatShare, network.responseRepeatShare, network.lateRepeatShare = 1, 1, 1
+	world.network.copies = copyAll(1)
 	arguments := Arguments{"id": "req-000001", "tasks": "3", "cpus": "2", "image": "100ms"}
 	for key, value := range job {
 		arguments[key] = value
@@ -105,9 +103,9 @@
 		world.restartForAMoment(world.randomController())
 		world.Run(2 * time.Second)
 	}
-	network.duplicateShare, network.frameRepeatShare, network.responseRepeatShare, network.lateRepeatShare = 0, 0, 0, 0
+	world.network.endFaults()
 	world.Run(maxRepeatDelay)
-	if network.startCopies == 0 {
+	if world.network.startCopies == 0 {
 		t.Error("no copy of a start command has arrived, want some")
 	}
 	if verdict := world.Verdict(); verdict != "kept" {
--- a/internal/simtest/network.go
+++ b/internal/simtest/network.go
@@ -16,6 +16,7 @@
 	refusedWhenCutShare  float64 // share of requests to controllers over cut links that fail at once
 	maxWorkerConnections int     // worker connections that a controller may have; zero means no limit
 	unreachableMachines  int     // number of the next machines to boot that will be unreachable
+	startCopies          int     // copies of start commands that have arrived so far
 }
 
 // linkState holds the faults of single links.
@@ -27,14 +28,22 @@
 
 // packetFaults configures the loss and the duplication of packets.
 type packetFaults struct {
-	lossShare       float64       // share of packets lost on any link
-	lateRepeatShare float64       // share of POST calls of controllers that are executed a second time, later
-	duplicateShare  float64       // share of heartbeats of which a copy arrives later at a random controller
-	duplicateDelay  time.Duration // maximum delay of such a copy
+	lossShare float64 // share of packets lost on any link
+	copies    messageCopies
+}
+
+// messageCopies configures late copies of messages. Shares are from 0 to 1.
+type messageCopies struct {
+	calls          float64       // share of POST calls of controllers that are executed a second time, later
+	frames         float64       // share of frames between controllers of which a copy arrives later
+	responses      float64       // share of responses to heartbeats of which a copy arrives later
+	heartbeats     float64       // share of heartbeats of which a copy arrives later at a random controller
+	heartbeatDelay time.Duration // maximum delay of such a copy of a heartbeat
+}
 
-	frameRepeatShare    float64 // share of frames between controllers of which a copy arrives later
-	responseRepeatShare float64 // share of responses to heartbeats of which a copy arrives later
-	startCopies         int     // copies of start commands that have arrived so far
+// copyAll returns the settings with which the given share of all messages is copied.
+func copyAll(share float64) messageCopies {
+	return messageCopies{calls: share, frames: share, responses: share, heartbeats: share, heartbeatDelay: maxRepeatDelay}
 }
 
 // requestDelays configures delays of requests and responses.
@@ -46,6 +55,11 @@
 	maxStateServiceDelay  time.Duration // maximum delay of the state service's responses
 }
 
+// endFaults ends the loss, the duplication and the delay of messages.
+func (network *fakeNetwork) endFaults() {
+	network.packetFaults, network.requestDelays = packetFaults{}, requestDelays{}
+}
+
 func newNetwork(world *World) *fakeNetwork {
 	return &fakeNetwork{world: world, linkState: linkState{cutLinks: map[link]bool{}, droppedLinks: map[link]bool{}}}
 }
@@ -89,7 +103,7 @@
 func (network *fakeNetwork) sendFrame(sender, receiver *controllerProcess, data []byte) {
 	deliver := func() { receiver.handleFrame(data) }
 	network.send(sender.name, receiver.name, deliver)
-	network.repeatLater(network.frameRepeatShare, data, deliver)
+	network.repeatLater(network.copies.frames, data, deliver)
 }
 
 // repeatLater delivers a copy of a message later, with the given probability.
--- a/internal/simtest/network_requests.go
+++ b/internal/simtest/network_requests.go
@@ -78,11 +78,11 @@
 			deliver := func() { answerOnce(status, body) }
 			network.sendDelayed(responseDelay, process.name, request.from, deliver)
 			if request.path == heartbeatPath {
-				network.repeatLater(network.responseRepeatShare, body, deliver)
+				network.repeatLater(network.copies.responses, body, deliver)
 			}
 		})
 	})
-	if request.path == heartbeatPath && network.world.random.Float64() < network.duplicateShare {
+	if request.path == heartbeatPath && network.world.random.Float64() < network.copies.heartbeats {
 		network.deliverDuplicate(request)
 	}
 }
@@ -104,7 +104,7 @@
 // The response is discarded.
 func (network *fakeNetwork) deliverDuplicate(request httpRequest) {
 	receiver := network.world.randomController()
-	delay := time.Duration(network.world.random.Int64N(int64(network.duplicateDelay)))
+	delay := time.Duration(network.world.random.Int64N(int64(network.copies.heartbeatDelay)))
 	network.world.schedule(delay, func() { receiver.handleRequest(request, func(int, []byte) {}) })
 }
 
--- a/internal/simtest/random_faults_test.go
+++ b/internal/simtest/random_faults_test.go
@@ -158,7 +158,7 @@
 
 // repeatFrames delivers a late copy of 30 % of the frames between controllers.
 func repeatFrames(world *World, _ *controllerProcess, duration time.Duration) {
-	world.setShareFor(&world.network.frameRepeatShare, 0.3, duration)
+	world.setShareFor(&world.network.copies.frames, 0.3, duration)
 }
 
 // failMachine lets a random machine with tasks crash, hang or be terminated by the cloud.
--- a/internal/simtest/random_jobs_test.go
+++ b/internal/simtest/random_jobs_test.go
@@ -99,11 +99,13 @@
 	world.checkAllEnded(reporter, seed, accepted)
 }
 
+// usualCopies are the late copies throughout a run of random jobs.
+var usualCopies = messageCopies{calls: 0.05, heartbeats: 0.05, heartbeatDelay: 30 * time.Second}
+
 // startRandomFaults makes the network lose, repeat and duplicate some packets, and adds three
 // machines.
 func (world *World) startRandomFaults() {
-	world.network.lossShare, world.network.lateRepeatShare = 0.01, 0.05
-	world.network.duplicateShare, world.network.duplicateDelay = 0.05, 30*time.Second
+	world.network.lossShare, world.network.copies = 0.01, usualCopies
 	for range 3 {
 		world.cloud.addMachine("small", []string{"a", "b"}[world.random.IntN(2)], false, 0)
 	}
@@ -197,9 +199,7 @@
 func (world *World) endAllFaults() {
 	world.Run(max(seconds(25), world.faultsEndAt-world.now))
 	world.cloud.bootFailures, world.cloud.down = 0, false
-	world.network.lossShare, world.network.lateRepeatShare, world.network.duplicateShare = 0, 0, 0
-	world.network.lateWriteShare, world.network.delayedHeartbeatShare, world.network.delayedCommandShare = 0, 0, 0
-	world.network.frameRepeatShare, world.network.responseRepeatShare = 0, 0
+	world.network.endFaults()
 	world.users.cancelAtEnd, world.users.invalidRequests = 0, false
 	world.Run(maxDelay) // delayed messages arrive
 	world.checker.faultsOverAt = world.now
--- a/internal/simtest/random_late_copies_test.go
+++ b/internal/simtest/random_late_copies_test.go
@@ -9,10 +9,8 @@
 func repeatStarts(world *World, _ *controllerProcess, duration time.Duration) {
 	duration += 2 * heartbeatTimeout
 	world.extendFaults(duration + maxRepeatDelay)
-	network := world.network
-	for _, share := range []*float64{&network.duplicateShare, &network.frameRepeatShare, &network.responseRepeatShare, &network.lateRepeatShare} {
-		world.raiseShareFor(share, 0.5, duration)
-	}
+	world.network.copies = copyAll(0.5)
+	world.schedule(duration, func() { world.network.copies = usualCopies })
 	world.restartOneUntil(world.now + duration)
 }
 
@@ -31,10 +29,3 @@
 		world.restartOneUntil(end)
 	})
 }
-
-// raiseShareFor sets a share for the given duration and resets it to its former value afterwards.
-func (world *World) raiseShareFor(share *float64, value float64, duration time.Duration) {
-	former := *share
-	*share = value
-	world.schedule(duration, func() { *share = former })
-}
