Test that cancellations read in a scan are not kept one by one

Cause: a mutant that keeps them one by one passed all tests. It would keep an entry for each of hundreds of thousands of ended jobs after a start. The fake of the state service in internal/api listed no keys, so a scan was never played there.

Change: the fake lists its keys. TestCancelledAnswersWaitAfterScan checks that none of the cancellations that a scan reads is kept.

--- a/internal/api/cancelled_answers_test.go
+++ b/internal/api/cancelled_answers_test.go
@@ -50,6 +50,9 @@
 	n.startViews.behind = true
 	s.unavailable = false
 	n.run(time.Second)
+	if kept := len(n.server.cancelled.unconfirmed); kept != 0 {
+		t.Errorf("%d cancellations of the scan are kept one by one, want none, as there may be very many", kept)
+	}
 	n.server.RecordCancellation("req-3", 1, n.now) // a change after the scan does not replace what the scan has read
 	cancelled := n.start("GET", "/submissions/req-1", "")
 	done := n.start("GET", "/submissions/req-2", "")
--- a/internal/api/fakestore_test.go
+++ b/internal/api/fakestore_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/url"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -153,7 +155,7 @@
 	case s.unavailable:
 		return 503, "", true
 	case u.Path == "/keys":
-		return 200, fmt.Sprintf(`{"items":[],"has_next":false,"epoch":%d}`, 0), true
+		return 200, s.allKeys(), true
 	case u.Path == "/follow":
 		from, err := strconv.ParseUint(u.Query().Get("from"), 10, 64)
 		if err != nil {
@@ -225,3 +227,13 @@
 	}
 	return interrupted
 }
+
+// allKeys returns the response to a request for the keys, all in one page.
+func (s *fakeStore) allKeys() string {
+	s.t.Helper()
+	items := []map[string]any{}
+	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
+		items = append(items, map[string]any{"key": key, "data": s.keys[key].data, "stamp": s.keys[key].modRevision})
+	}
+	return s.encode(map[string]any{"items": items, "has_next": false, "epoch": s.revision})
+}
