--- a/internal/api/fakestore_test.go
+++ b/internal/api/fakestore_test.go
@@ -231,7 +231,7 @@
 // allKeys returns the response to a request for the keys, all in one page.
 func (s *fakeStore) allKeys() string {
 	s.t.Helper()
-	items := []map[string]any{}
+	items := make([]map[string]any, 0, len(s.keys))
 	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
 		items = append(items, map[string]any{"key": key, "data": s.keys[key].data, "stamp": s.keys[key].modRevision})
 	}
